--- /dev/null
+++ b/include/fulmaryard/binding_rule.hpp
@@ -0,0 +1,25 @@
+#ifndef FULMARYARD_BINDING_RULE_HPP
+#define FULMARYARD_BINDING_RULE_HPP
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fulmaryard
+{
+
+/// Allows accounts to use models and services.
+struct binding_rule
+{
+    std::vector<std::string> m_accounts;
+    std::vector<std::string> m_models;
+    std::vector<std::string> m_services;
+    std::uint32_t m_priority{0}; ///< Higher runs first within an account's share.
+
+    friend auto operator<=>(const binding_rule&, const binding_rule&) = default;
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/include/fulmaryard/engine_release.hpp
@@ -0,0 +1,23 @@
+#ifndef FULMARYARD_ENGINE_RELEASE_HPP
+#define FULMARYARD_ENGINE_RELEASE_HPP
+
+#include <fulmaryard/stream_id.hpp>
+
+#include <compare>
+#include <cstdint>
+
+namespace fulmaryard
+{
+
+/// Action of a stage node: cancel what the engine runs for a session and free its KV state.
+struct engine_release
+{
+    stream_id m_stream;
+    std::uint64_t m_session{0};
+
+    friend auto operator<=>(const engine_release&, const engine_release&) = default;
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/include/fulmaryard/entry_settings.hpp
@@ -0,0 +1,44 @@
+#ifndef FULMARYARD_ENTRY_SETTINGS_HPP
+#define FULMARYARD_ENTRY_SETTINGS_HPP
+
+#include <fulmaryard/administrator.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fulmaryard
+{
+
+/// Settings of an entry process.
+struct entry_settings
+{
+    std::string m_name; ///< Name in logs, for example "entry-1".
+    std::string
+        m_peer_listen; ///< Peers, JSON-RPC, metrics and, on entries, administration: "IP:PORT".
+    std::string m_region;
+    std::string m_failure_domain;
+    std::string m_platform; ///< Address of the object API and instance list, "IP:PORT".
+    std::uint32_t m_threads{2};
+    std::uint32_t m_drain_limit_ms{
+        300000};                      ///< Time for work in flight after SIGTERM, milliseconds.
+    std::string m_log_level{"info"};  ///< "debug", "info", "warning" or "error".
+    std::string m_listen;             ///< Callers, "IP:PORT".
+    std::vector<std::string> m_peers; ///< Peer addresses of other entries, to read the
+                                      ///< configuration from while the platform is down.
+    std::vector<administrator> m_administrators;
+    std::uint32_t m_max_body_bytes{1048576};    ///< Of a caller's request.
+    std::uint32_t m_max_connections{8192};      ///< From callers.
+    std::uint32_t m_request_deadline_ms{10000}; ///< To receive a whole request, milliseconds.
+    std::uint32_t m_first_token_target_ms{
+        380}; ///< Admission refuses when the expected wait is longer, milliseconds.
+    std::string m_planner{"least_wait"};     ///< "least_wait" or "round_robin".
+    std::string m_recovery{"rebuild_stage"}; ///< "rebuild_stage" or "restart".
+
+    friend auto operator<=>(const entry_settings&, const entry_settings&) = default;
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/include/fulmaryard/http_message.hpp
@@ -0,0 +1,55 @@
+#ifndef FULMARYARD_HTTP_MESSAGE_HPP
+#define FULMARYARD_HTTP_MESSAGE_HPP
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fulmaryard
+{
+
+/// One header field.
+struct http_field
+{
+    std::string m_name;
+    std::string m_value;
+
+    friend auto operator<=>(const http_field&, const http_field&) = default;
+};
+
+/// An HTTP request, free of Beast's types so that filters and tests need no networking headers.
+struct http_request
+{
+    std::string m_method; ///< "GET", "POST", ...
+    std::string m_target; ///< Path with query, as received.
+    std::vector<http_field> m_fields;
+    std::string m_body;
+
+    friend auto operator<=>(const http_request&, const http_request&) = default;
+};
+
+/// An HTTP response.
+struct http_response
+{
+    unsigned m_status{200};
+    std::vector<http_field> m_fields;
+    std::string m_body;
+
+    friend auto operator<=>(const http_response&, const http_response&) = default;
+};
+
+/// Returns the value of the first field named `name`, compared without case.
+std::optional<std::string_view>
+find_field(const std::vector<http_field>& fields, std::string_view name);
+
+/// Returns the path of a target, without its query.
+std::string_view path_of(std::string_view target);
+
+/// Returns the percent-decoded value of one query parameter of a target.
+std::optional<std::string> query_parameter(std::string_view target, std::string_view name);
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/include/fulmaryard/outcome.hpp
@@ -0,0 +1,35 @@
+#ifndef FULMARYARD_OUTCOME_HPP
+#define FULMARYARD_OUTCOME_HPP
+
+#include <cstdint>
+#include <string_view>
+
+namespace fulmaryard
+{
+
+/// What a caller may conclude about its request from a failure.
+enum class outcome : std::uint8_t
+{
+    not_run, ///< The request has not run and never will.
+    unknown, ///< The request may have run.
+    failed   ///< The request started and did not complete.
+};
+
+/// Returns the value of the `X-Fulmaryard-Outcome` header: "not-run", "unknown" or "failed".
+std::string_view to_string(outcome value) noexcept;
+
+/// How far a request had come when a failure ended it.
+enum class dispatch_progress : std::uint8_t
+{
+    not_sent, ///< No process that could run it has received it.
+    refused,  ///< Every process that received it refused it and cannot run it later.
+    sent,     ///< A process received or may have received it; nothing is known beyond that.
+    started   ///< A process reported that it started.
+};
+
+/// The only place that decides what a caller is told about whether its request ran.
+outcome decide_outcome(dispatch_progress progress) noexcept;
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/include/fulmaryard/pull.hpp
@@ -0,0 +1,34 @@
+#ifndef FULMARYARD_PULL_HPP
+#define FULMARYARD_PULL_HPP
+
+#include <fulmaryard/epoch.hpp>
+#include <fulmaryard/stream_id.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace fulmaryard
+{
+
+/// Consumer to producer: send again every retained output from a position on.
+/// A stage k > 0 names a position; stage 0 and the owner name the index of a generated token.
+struct pull
+{
+    stream_id m_stream;
+    epoch m_epoch;
+    std::uint32_t m_from{0};
+    std::string m_reply_address; ///< Peer address of the consumer.
+
+    friend auto operator<=>(const pull&, const pull&) = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_stream, m_epoch, m_from, m_reply_address);
+    }
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/include/fulmaryard/stream_attached.hpp
@@ -0,0 +1,44 @@
+#ifndef FULMARYARD_STREAM_ATTACHED_HPP
+#define FULMARYARD_STREAM_ATTACHED_HPP
+
+#include <fulmaryard/epoch.hpp>
+#include <fulmaryard/stage_assignment.hpp>
+#include <fulmaryard/stream_id.hpp>
+#include <fulmaryard/token.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fulmaryard
+{
+
+/// Answer to `attach_stream`: what is needed to own the stream. `m_epoch` is the stage's current
+/// one.
+struct stream_attached
+{
+    stream_id m_stream;
+    epoch m_epoch;
+    std::vector<stage_assignment> m_plan;
+    std::string m_model;
+    std::string m_prompt;
+    std::vector<token> m_tokens; ///< Generated tokens known at the stage.
+    std::uint32_t m_max_tokens{0};
+    std::uint32_t m_priority{0};
+    bool m_finished{false};
+
+    friend auto operator<=>(const stream_attached&, const stream_attached&) = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(
+            m_stream, m_epoch, m_plan, m_model, m_prompt, m_tokens, m_max_tokens, m_priority,
+            m_finished);
+    }
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/src/http_client.cpp
@@ -0,0 +1,193 @@
+#include "http_conversion_inl.hpp"
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/http_client.hpp>
+#include <fulmaryard/peer_address.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+absl::Status io_failure(const beast::error_code& error, dispatch_progress progress)
+{
+    const auto kind = error == beast::error::timeout ? failure_kind::deadline_exceeded
+                                                     : failure_kind::endpoint_lost;
+    return make_failure(kind, error.message(), progress);
+}
+
+struct pooled_connection
+{
+    explicit pooled_connection(const asio::any_io_executor& executor) : m_stream(executor) {}
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+};
+
+/// What one attempt on one connection led to.
+struct attempt_result
+{
+    absl::StatusOr<http_response> m_response;
+    bool m_closed_before_response{false};
+    bool m_keep{false};
+};
+
+} // namespace
+
+struct http_client::state
+{
+    asio::any_io_executor m_executor;
+    std::string m_address;
+    std::size_t m_max_idle;
+    std::size_t m_max_response_bytes;
+    std::mutex m_mutex;
+    std::vector<std::unique_ptr<pooled_connection>> m_idle;
+
+    std::unique_ptr<pooled_connection> take_idle()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_idle.empty())
+            return nullptr;
+        auto connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        return connection;
+    }
+
+    void put_idle(std::unique_ptr<pooled_connection> connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_idle.size() < m_max_idle)
+            m_idle.push_back(std::move(connection));
+    }
+
+    asio::awaitable<absl::StatusOr<std::unique_ptr<pooled_connection>>>
+    connect(std::chrono::steady_clock::time_point deadline)
+    {
+        const auto endpoint = parse_address(m_address);
+        if (!endpoint.ok())
+            co_return endpoint.status();
+        auto connection = std::make_unique<pooled_connection>(asio::make_strand(m_executor));
+        connection->m_stream.expires_at(deadline);
+        const auto [error] = co_await connection->m_stream.async_connect(*endpoint, use_tuple);
+        if (error)
+            co_return io_failure(error, dispatch_progress::not_sent);
+        beast::error_code ignored;
+        connection->m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        co_return connection;
+    }
+
+    asio::awaitable<attempt_result> exchange(
+        pooled_connection& connection, const http::request<http::string_body>& message,
+        std::chrono::steady_clock::time_point deadline)
+    {
+        connection.m_stream.expires_at(deadline);
+        const auto [write_error, written] =
+            co_await http::async_write(connection.m_stream, message, use_tuple);
+        if (write_error)
+            co_return attempt_result{
+                io_failure(write_error, dispatch_progress::sent),
+                write_error != beast::error::timeout, false};
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(m_max_response_bytes);
+        if (message.method() == http::verb::head)
+            parser.skip(true);
+        const auto [read_error, size] =
+            co_await http::async_read(connection.m_stream, connection.m_buffer, parser, use_tuple);
+        if (read_error)
+        {
+            const bool nothing_read = !parser.got_some() && read_error != beast::error::timeout;
+            co_return attempt_result{
+                io_failure(read_error, dispatch_progress::sent), nothing_read, false};
+        }
+        connection.m_stream.expires_never();
+        const bool keep = parser.get().keep_alive();
+        auto response = parser.release();
+        co_return attempt_result{
+            http_response{
+                response.result_int(), copy_fields(response.base()), std::move(response.body())},
+            false, keep};
+    }
+
+    /// Runs on the strand of `connection`.
+    asio::awaitable<attempt_result>
+    run(std::unique_ptr<pooled_connection>& connection,
+        const http::request<http::string_body>& message,
+        std::chrono::steady_clock::time_point deadline)
+    {
+        const auto executor = connection->m_stream.get_executor();
+        co_return co_await asio::co_spawn(
+            executor, exchange(*connection, message, deadline), asio::use_awaitable);
+    }
+};
+
+http_client::http_client(
+    asio::any_io_executor executor, std::string address, std::size_t max_idle,
+    std::size_t max_response_bytes)
+    : m_state(std::make_shared<state>())
+{
+    m_state->m_executor = std::move(executor);
+    m_state->m_address = std::move(address);
+    m_state->m_max_idle = max_idle;
+    m_state->m_max_response_bytes = max_response_bytes;
+}
+
+http_client::~http_client() = default;
+
+const std::string& http_client::address() const
+{
+    return m_state->m_address;
+}
+
+asio::awaitable<absl::StatusOr<http_response>>
+http_client::send(http_request request, std::chrono::milliseconds deadline, reuse policy)
+{
+    const auto self = m_state;
+    const auto due = std::chrono::steady_clock::now() + deadline;
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.m_method);
+    message.target(request.m_target);
+    set_fields(message, request.m_fields);
+    message.set(http::field::host, self->m_address);
+    message.body() = std::move(request.m_body);
+    message.prepare_payload();
+
+    if (policy == reuse::allowed)
+    {
+        if (auto connection = self->take_idle())
+        {
+            auto result = co_await self->run(connection, message, due);
+            if (result.m_keep)
+                self->put_idle(std::move(connection));
+            if (!result.m_closed_before_response)
+                co_return std::move(result.m_response);
+        }
+    }
+    auto connection = co_await self->connect(due);
+    if (!connection.ok())
+        co_return connection.status();
+    auto result = co_await self->run(*connection, message, due);
+    if (result.m_keep)
+        self->put_idle(std::move(*connection));
+    co_return std::move(result.m_response);
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,382 @@
+#include "http_conversion_inl.hpp"
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/http_exchange.hpp>
+#include <fulmaryard/http_server.hpp>
+#include <fulmaryard/log.hpp>
+#include <fulmaryard/peer_address.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/beast/websocket/rfc6455.hpp>
+
+#include <atomic>
+#include <tuple>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+absl::Status write_status(const beast::error_code& error)
+{
+    if (!error)
+        return absl::OkStatus();
+    const auto kind = error == beast::error::timeout ? failure_kind::request_timeout
+                                                     : failure_kind::endpoint_lost;
+    return make_failure(kind, error.message(), dispatch_progress::sent);
+}
+
+class connection_exchange final : public http_exchange
+{
+public:
+    connection_exchange(
+        beast::tcp_stream& stream, http_request request, bool keep_alive,
+        std::chrono::milliseconds write_deadline)
+        : m_stream(stream),
+          m_request(std::move(request)),
+          m_keep_alive(keep_alive),
+          m_write_deadline(write_deadline)
+    {
+    }
+
+    ~connection_exchange() override { m_watch->m_active = false; }
+
+    const http_request& request() const override { return m_request; }
+
+    asio::any_io_executor executor() override { return m_stream.get_executor(); }
+
+    asio::awaitable<absl::Status> respond(http_response response) override
+    {
+        m_responded = true;
+        http::response<http::string_body> message(static_cast<http::status>(response.m_status), 11);
+        set_fields(message, response.m_fields);
+        message.body() = std::move(response.m_body);
+        message.keep_alive(m_keep_alive);
+        message.prepare_payload();
+        m_stream.expires_after(m_write_deadline);
+        const auto [error, written] = co_await http::async_write(m_stream, message, use_tuple);
+        co_return finish_write(error);
+    }
+
+    asio::awaitable<absl::Status> begin_events(std::vector<http_field> fields) override
+    {
+        m_responded = true;
+        http::response<http::empty_body> message(http::status::ok, 11);
+        set_fields(message, fields);
+        message.set(http::field::content_type, "text/event-stream");
+        message.set(http::field::cache_control, "no-store");
+        message.chunked(true);
+        message.keep_alive(m_keep_alive);
+        http::response_serializer<http::empty_body> serializer(message);
+        m_stream.expires_after(m_write_deadline);
+        const auto [error, written] =
+            co_await http::async_write_header(m_stream, serializer, use_tuple);
+        co_return finish_write(error);
+    }
+
+    asio::awaitable<absl::Status> send_events(std::string_view text) override
+    {
+        m_stream.expires_after(m_write_deadline);
+        const auto [error, written] = co_await asio::async_write(
+            m_stream, http::make_chunk(asio::const_buffer(text.data(), text.size())), use_tuple);
+        co_return finish_write(error);
+    }
+
+    asio::awaitable<absl::Status> end_events() override
+    {
+        m_stream.expires_after(m_write_deadline);
+        const auto [error, written] =
+            co_await asio::async_write(m_stream, http::make_chunk_last(), use_tuple);
+        co_return finish_write(error);
+    }
+
+    bool responded() const override { return m_responded; }
+
+    void watch_client(std::function<void()> on_gone) override
+    {
+        m_watch->m_on_gone = std::move(on_gone);
+        m_watch->m_active = true;
+        // The wait ends early only when the socket becomes readable: with data of a pipelined
+        // request, which is left alone, or with the end of the client's sending side.
+        m_stream.socket().async_wait(
+            asio::ip::tcp::socket::wait_read,
+            [watch = m_watch, &socket = m_stream.socket()](const beast::error_code& error)
+            {
+                if (!watch->m_active)
+                    return;
+                char byte = 0;
+                beast::error_code peek_error = error;
+                if (!error)
+                {
+                    socket.receive(
+                        asio::buffer(&byte, 1), asio::socket_base::message_peek, peek_error);
+                }
+                if (peek_error && peek_error != asio::error::would_block)
+                {
+                    watch->m_active = false;
+                    watch->m_on_gone();
+                }
+            });
+    }
+
+    bool usable() const { return m_usable; }
+
+    /// Ends a watch so that the next request can be read.
+    void end_watch()
+    {
+        if (!m_watch->m_active)
+            return;
+        m_watch->m_active = false;
+        beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
+    }
+
+private:
+    struct client_watch
+    {
+        bool m_active{false};
+        std::function<void()> m_on_gone;
+    };
+
+    absl::Status finish_write(const beast::error_code& error)
+    {
+        m_stream.expires_never();
+        if (error)
+            m_usable = false;
+        return write_status(error);
+    }
+
+    beast::tcp_stream& m_stream;
+    http_request m_request;
+    bool m_keep_alive;
+    bool m_responded{false};
+    bool m_usable{true};
+    std::chrono::milliseconds m_write_deadline;
+    std::shared_ptr<client_watch> m_watch{std::make_shared<client_watch>()};
+};
+
+} // namespace
+
+struct http_server::state : std::enable_shared_from_this<http_server::state>
+{
+    state(
+        asio::io_context& io, http_server_limits limits, handler on_request,
+        upgrade_handler on_upgrade)
+        : m_io(io),
+          m_limits(limits),
+          m_on_request(std::move(on_request)),
+          m_on_upgrade(std::move(on_upgrade)),
+          m_acceptor(asio::make_strand(io))
+    {
+    }
+
+    asio::awaitable<void> accept_loop();
+    asio::awaitable<void> serve(beast::tcp_stream stream);
+    asio::awaitable<bool> answer_read_error(beast::tcp_stream& stream, beast::error_code error);
+
+    asio::io_context& m_io;
+    http_server_limits m_limits;
+    handler m_on_request;
+    upgrade_handler m_on_upgrade;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<std::size_t> m_connections{0};
+    std::atomic<std::size_t> m_exchanges{0};
+};
+
+asio::awaitable<void> http_server::state::accept_loop()
+{
+    const auto self = shared_from_this();
+    while (!m_stopping)
+    {
+        auto [error, socket] = co_await m_acceptor.async_accept(asio::make_strand(m_io), use_tuple);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error)
+        {
+            log_event(log_level::warning, "accept_failed").with("error", error.message());
+            asio::steady_timer pause(m_acceptor.get_executor(), std::chrono::milliseconds(50));
+            co_await pause.async_wait(use_tuple);
+            continue;
+        }
+        if (m_connections.load() >= m_limits.m_max_connections)
+            continue; // Closes the socket.
+        beast::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        const auto executor = socket.get_executor();
+        m_connections.fetch_add(1);
+        asio::co_spawn(
+            executor, serve(beast::tcp_stream(std::move(socket))),
+            [self](const std::exception_ptr&) { self->m_connections.fetch_sub(1); });
+    }
+}
+
+asio::awaitable<bool>
+http_server::state::answer_read_error(beast::tcp_stream& stream, beast::error_code error)
+{
+    auto kind = failure_kind::invalid_request;
+    auto status = http::status::bad_request;
+    if (error == beast::error::timeout)
+    {
+        kind = failure_kind::request_timeout;
+        status = http::status::request_timeout;
+    }
+    else if (error == http::error::body_limit)
+    {
+        kind = failure_kind::payload_too_large;
+        status = http::status::payload_too_large;
+    }
+    else if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        status = http::status::request_header_fields_too_large;
+    else if (error.category() != beast::error_code(http::error::bad_method).category())
+        co_return false; // The connection itself failed; nobody would read an answer.
+    http::response<http::string_body> message(status, 11);
+    message.set(http::field::content_type, "application/json");
+    message.set("X-Fulmaryard-Outcome", std::string(to_string(outcome::not_run)));
+    message.body() = fmt::format(
+        R"({{"error":{{"message":"{}","type":"invalid_request_error","code":"{}","outcome":"not-run"}}}})",
+        error.message(), to_string(kind));
+    message.keep_alive(false);
+    message.prepare_payload();
+    stream.expires_after(m_limits.m_write_deadline);
+    co_await http::async_write(stream, message, use_tuple);
+    beast::error_code ignored;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Reading what the client still sends, within a bound, keeps the kernel from resetting the
+    // connection before the client has read the answer.
+    std::array<char, 4096> discarded{};
+    stream.expires_after(std::chrono::seconds(1));
+    for (int reads = 0; reads < 256; ++reads)
+    {
+        const auto [read_error, size] =
+            co_await stream.async_read_some(asio::buffer(discarded), use_tuple);
+        if (read_error)
+            break;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> http_server::state::serve(beast::tcp_stream stream)
+{
+    const auto self = shared_from_this();
+    beast::flat_buffer buffer(m_limits.m_max_header_bytes + 64 * 1024);
+    while (!m_stopping)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_limits.m_max_header_bytes));
+        parser.body_limit(m_limits.m_max_body_bytes);
+        if (buffer.size() == 0)
+        {
+            stream.expires_after(m_limits.m_idle_deadline);
+            const auto [error, size] =
+                co_await stream.async_read_some(buffer.prepare(4096), use_tuple);
+            if (error)
+                break;
+            buffer.commit(size);
+        }
+        stream.expires_after(m_limits.m_request_deadline);
+        const auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
+        if (error)
+        {
+            co_await answer_read_error(stream, error);
+            break;
+        }
+        stream.expires_never();
+        if (m_on_upgrade && beast::websocket::is_upgrade(parser.get()))
+        {
+            m_on_upgrade(stream.release_socket(), parser.release());
+            co_return;
+        }
+        const auto& message = parser.get();
+        http_request request{
+            std::string(message.method_string()), std::string(message.target()),
+            copy_fields(message.base()), message.body()};
+        connection_exchange exchange(
+            stream, std::move(request), message.keep_alive(), m_limits.m_write_deadline);
+        m_exchanges.fetch_add(1);
+        co_await m_on_request(exchange);
+        m_exchanges.fetch_sub(1);
+        exchange.end_watch();
+        if (!exchange.responded())
+            std::ignore = co_await exchange.respond({500, {}, {}});
+        if (!exchange.usable() || !message.keep_alive())
+            break;
+    }
+    beast::error_code ignored;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
+http_server::http_server(
+    asio::io_context& io, http_server_limits limits, handler on_request, upgrade_handler on_upgrade)
+    : m_state(std::make_shared<state>(io, limits, std::move(on_request), std::move(on_upgrade)))
+{
+}
+
+http_server::~http_server()
+{
+    stop_accepting();
+}
+
+absl::StatusOr<std::uint16_t> http_server::listen(const std::string& address)
+{
+    const auto endpoint = parse_address(address);
+    if (!endpoint.ok())
+        return endpoint.status();
+    auto& acceptor = m_state->m_acceptor;
+    beast::error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+    {
+        return make_failure(
+            failure_kind::internal,
+            fmt::format("cannot listen on {}: {}", address, error.message()));
+    }
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    asio::co_spawn(acceptor.get_executor(), m_state->accept_loop(), asio::detached);
+    return port;
+}
+
+void http_server::stop_accepting()
+{
+    m_state->m_stopping = true;
+    asio::post(
+        m_state->m_acceptor.get_executor(),
+        [state = m_state]
+        {
+            beast::error_code ignored;
+            state->m_acceptor.close(ignored);
+        });
+}
+
+std::size_t http_server::active_exchanges() const
+{
+    return m_state->m_exchanges.load();
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/json_rpc.cpp
@@ -0,0 +1,136 @@
+#include <fulmaryard/json_rpc.hpp>
+
+#include <jsonrpccpp/client/client.h>
+#include <jsonrpccpp/common/exception.h>
+#include <jsonrpccpp/common/procedure.h>
+#include <jsonrpccpp/server/iprocedureinvokationhandler.h>
+#include <jsonrpccpp/server/requesthandlerfactory.h>
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <map>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+std::string write_json(const Json::Value& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+bool read_json(const std::string& text, Json::Value& value)
+{
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    return reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
+}
+
+/// The library's client waits inside the connector for the response. This connector lets the
+/// caller send and receive on its own instead: it keeps the request and hands over a response that
+/// is known already.
+class split_connector : public jsonrpc::IClientConnector
+{
+public:
+    explicit split_connector(std::string response) : m_response(std::move(response)) {}
+
+    void SendRPCMessage(const std::string& message, std::string& result) throw(
+        jsonrpc::JsonRpcException) override
+    {
+        m_request = message;
+        result = m_response;
+    }
+
+    const std::string& request() const { return m_request; }
+
+private:
+    std::string m_request;
+    std::string m_response;
+};
+
+} // namespace
+
+class json_rpc_server::impl : public jsonrpc::IProcedureInvokationHandler
+{
+public:
+    impl()
+        : m_protocol(jsonrpc::RequestHandlerFactory::createProtocolHandler(
+              jsonrpc::JSONRPC_SERVER_V2, *this))
+    {
+    }
+
+    void add(const std::string& name, method function)
+    {
+        m_protocol->AddProcedure(
+            jsonrpc::Procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr));
+        m_methods[name] = std::move(function);
+    }
+
+    std::string handle(const std::string& request)
+    {
+        std::string response;
+        m_protocol->HandleRequest(request, response);
+        return response;
+    }
+
+    void HandleMethodCall(
+        jsonrpc::Procedure& procedure, const Json::Value& input, Json::Value& output) override
+    {
+        const auto result = m_methods.at(procedure.GetProcedureName())(
+            input.isNull() ? std::string("{}") : write_json(input));
+        if (!result.m_error.empty())
+            throw jsonrpc::JsonRpcException(result.m_error_code, result.m_error);
+        if (!read_json(result.m_json, output))
+            throw jsonrpc::JsonRpcException(-32603, "method returned malformed JSON");
+    }
+
+    void HandleNotificationCall(jsonrpc::Procedure&, const Json::Value&) override {}
+
+private:
+    std::map<std::string, method> m_methods;
+    std::unique_ptr<jsonrpc::IProtocolHandler> m_protocol;
+};
+
+json_rpc_server::json_rpc_server() : m_impl(new impl) {}
+
+json_rpc_server::~json_rpc_server() = default;
+
+void json_rpc_server::add(const std::string& name, method function)
+{
+    m_impl->add(name, std::move(function));
+}
+
+std::string json_rpc_server::handle(const std::string& request)
+{
+    return m_impl->handle(request);
+}
+
+std::string make_json_rpc_request(const std::string& name, const std::string& parameters)
+{
+    Json::Value values(Json::objectValue);
+    read_json(parameters, values);
+    split_connector connector(R"({"jsonrpc":"2.0","id":1,"result":null})");
+    jsonrpc::Client(connector).CallMethod(name, values);
+    return connector.request();
+}
+
+json_rpc_result read_json_rpc_response(const std::string& response)
+{
+    split_connector connector(response);
+    try
+    {
+        return {write_json(jsonrpc::Client(connector).CallMethod("", Json::Value())), "", 0};
+    }
+    catch (const jsonrpc::JsonRpcException& error)
+    {
+        return {"", error.GetMessage(), error.GetCode()};
+    }
+}
+
+} // namespace fulmaryard
