--- /dev/null
+++ b/src/call_ledger.cpp
@@ -0,0 +1,665 @@
+#include "ledger_partition.hpp"
+
+#include <fulmaryard/call_ledger.hpp>
+#include <fulmaryard/failure.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <boost/json.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds retry_pause{100};
+constexpr std::chrono::seconds unload_after{60};
+
+/// A change of one record that the next write carries.
+struct record_change
+{
+    std::optional<ledger_record> m_record; ///< Empty: remove the record.
+    std::string m_attempt;                 ///< The attempt that the record belongs to.
+    std::uint64_t m_ticket{0};             ///< The call it belongs to; it may have ended.
+};
+
+using record_changes = std::map<std::string, record_change, std::less<>>;
+
+enum class call_phase : std::uint8_t
+{
+    waiting, ///< For the partition to be read, or for the intent to be written.
+    running, ///< The worker has it or is about to get it.
+    settling ///< It was not run after all; the removal of its intent is being written.
+};
+
+/// Who gets the answer of a call.
+struct call_recipient
+{
+    std::string m_reply_address;
+    std::uint64_t m_call{0};
+    call_ledger::time_point m_deadline;
+};
+
+struct ledger_call
+{
+    service_call m_call;
+    std::uint32_t m_partition{0};
+    std::string m_key;
+    std::string m_body_hash;
+    std::string m_attempt;
+    call_phase m_phase{call_phase::waiting};
+    bool m_read_since_arrival{false}; ///< The partition was read after the call arrived.
+    bool m_intent_sent{false};        ///< A write with the intent was sent to the platform.
+    std::vector<call_recipient> m_recipients;
+    service_result m_result; ///< Set while settling.
+};
+
+struct ledger_partition
+{
+    bool m_loaded{false};
+    bool m_reading{false};
+    bool m_writing{false};
+    bool m_undecided{false}; ///< `m_in_flight` may or may not have been written.
+    bool m_force_write{false};
+    std::uint64_t m_version{0};
+    ledger_records m_durable;
+    record_changes m_pending;
+    record_changes m_in_flight;
+    /// Intents, by key, that were sent to the platform and whose callers were then told that the
+    /// call was not run. A write of unknown result may still bring one of them in.
+    std::map<std::string, std::string> m_abandoned;
+    std::vector<std::uint64_t> m_waiting; ///< Calls to look up once the partition is loaded.
+    call_ledger::time_point m_retry_at;
+    call_ledger::time_point m_last_use;
+};
+
+service_result failed_result(failure_kind kind, outcome decided)
+{
+    service_result result;
+    result.m_failure = kind;
+    result.m_outcome = decided;
+    return result;
+}
+
+std::int64_t seconds_of(call_ledger::wall_time wall)
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(wall.time_since_epoch()).count();
+}
+
+} // namespace
+
+struct call_ledger::state
+{
+    explicit state(call_ledger_settings settings) : m_settings(std::move(settings)) {}
+
+    void begin(const service_call& call, time_point now);
+    void advance(std::uint32_t number, time_point now, wall_time wall);
+    void look_up(std::uint64_t ticket, wall_time wall);
+    void look_up_record(
+        std::uint64_t ticket, ledger_call& call, const ledger_record& record, wall_time wall);
+    void flush(std::uint32_t number, time_point now, wall_time wall);
+    void adopt(std::uint32_t number, ledger_records records, std::uint64_t version);
+    void settle_undecided(std::uint32_t number);
+    void written(std::uint32_t number, std::uint64_t version);
+    void run(std::uint64_t ticket);
+    void answer(std::uint64_t ticket, const service_result& result);
+    void answer_recipients(ledger_call& call, const service_result& result);
+    void expire(std::uint64_t ticket, time_point now);
+    void drop_superseded_changes(ledger_partition& partition);
+    void remove_abandoned(ledger_partition& partition);
+    void refuse_waiting_intents(ledger_partition& partition);
+    ledger_call* find(std::uint64_t ticket);
+    actions take_actions() { return std::exchange(m_actions, {}); }
+
+    call_ledger_settings m_settings;
+    bool m_draining{false};
+    std::uint64_t m_next_ticket{1};
+    std::map<std::uint64_t, ledger_call> m_calls;
+    absl::flat_hash_map<std::string, std::uint64_t> m_ticket_by_key;
+    std::map<std::uint32_t, ledger_partition> m_partitions;
+    actions m_actions;
+    std::uint64_t m_reads{0};
+    std::uint64_t m_writes{0};
+};
+
+ledger_call* call_ledger::state::find(std::uint64_t ticket)
+{
+    const auto found = m_calls.find(ticket);
+    return found == m_calls.end() ? nullptr : &found->second;
+}
+
+void call_ledger::state::answer_recipients(ledger_call& call, const service_result& result)
+{
+    for (auto& recipient : call.m_recipients)
+    {
+        service_result copy = result;
+        copy.m_call = recipient.m_call;
+        m_actions.emplace_back(answer_call{std::move(recipient.m_reply_address), std::move(copy)});
+    }
+    call.m_recipients.clear();
+}
+
+void call_ledger::state::answer(std::uint64_t ticket, const service_result& result)
+{
+    const auto found = m_calls.find(ticket);
+    if (found == m_calls.end())
+        return;
+    answer_recipients(found->second, result);
+    m_ticket_by_key.erase(found->second.m_key);
+    m_calls.erase(found);
+}
+
+void call_ledger::state::begin(const service_call& call, time_point now)
+{
+    const call_recipient recipient{
+        call.m_reply_address, call.m_call, now + std::chrono::milliseconds(call.m_deadline_ms)};
+    const auto refuse = [&](failure_kind kind, outcome decided)
+    {
+        service_result result = failed_result(kind, decided);
+        result.m_call = call.m_call;
+        m_actions.emplace_back(answer_call{call.m_reply_address, std::move(result)});
+    };
+    if (call.m_key.empty())
+        return refuse(failure_kind::invalid_request, outcome::not_run);
+    const std::string key = hash_parts({call.m_account, call.m_service, call.m_key});
+    const std::string body_hash = hash_parts({call.m_method, call.m_path, call.m_body});
+
+    if (const auto active = m_ticket_by_key.find(key); active != m_ticket_by_key.end())
+    {
+        // The same key is in progress here: both callers get its answer.
+        ledger_call& first = m_calls.at(active->second);
+        if (first.m_body_hash != body_hash)
+            return refuse(failure_kind::key_reused, outcome::not_run);
+        first.m_recipients.push_back(recipient);
+        return;
+    }
+    if (m_draining)
+        return refuse(failure_kind::draining, outcome::not_run);
+    if (m_calls.size() >= m_settings.m_max_waiting)
+        return refuse(failure_kind::overloaded, outcome::not_run);
+
+    const std::uint64_t ticket = m_next_ticket++;
+    ledger_call entry;
+    entry.m_call = call;
+    entry.m_partition =
+        partition_of(call.m_account, call.m_service, call.m_key, m_settings.m_partitions);
+    entry.m_key = key;
+    entry.m_body_hash = body_hash;
+    entry.m_attempt = fmt::format("{}/{}", m_settings.m_process, ticket);
+    entry.m_recipients.push_back(recipient);
+    auto& partition = m_partitions[entry.m_partition];
+    partition.m_waiting.push_back(ticket);
+    partition.m_last_use = now;
+    m_ticket_by_key[key] = ticket;
+    m_calls.emplace(ticket, std::move(entry));
+}
+
+void call_ledger::state::run(std::uint64_t ticket)
+{
+    ledger_call* call = find(ticket);
+    call->m_phase = call_phase::running;
+    m_actions.emplace_back(run_call{ticket, call->m_call});
+}
+
+void call_ledger::state::look_up_record(
+    std::uint64_t ticket, ledger_call& call, const ledger_record& record, wall_time wall)
+{
+    if (record.m_attempt == call.m_attempt)
+        return run(ticket); // The own write took effect although its answer was lost.
+    if (record.m_body_hash != call.m_body_hash)
+        return answer(ticket, failed_result(failure_kind::key_reused, outcome::not_run));
+    if (record.m_status != 0)
+    {
+        service_result result;
+        result.m_ok = true;
+        result.m_status = record.m_status;
+        result.m_content_type = record.m_content_type;
+        result.m_body = record.m_body;
+        return answer(ticket, result);
+    }
+    auto& partition = m_partitions[call.m_partition];
+    if (!call.m_read_since_arrival)
+    {
+        // Another process may have written the outcome since this copy was read.
+        partition.m_loaded = false;
+        partition.m_waiting.push_back(ticket);
+        return;
+    }
+    const bool may_be_running = seconds_of(wall) <= record.m_deadline_s;
+    answer(
+        ticket, failed_result(
+                    may_be_running ? failure_kind::key_in_progress : failure_kind::outcome_unknown,
+                    outcome::unknown));
+}
+
+void call_ledger::state::look_up(std::uint64_t ticket, wall_time wall)
+{
+    ledger_call* call = find(ticket);
+    if (!call || call->m_phase != call_phase::waiting)
+        return;
+    auto& partition = m_partitions[call->m_partition];
+    const auto pending = partition.m_pending.find(call->m_key);
+    const bool being_removed =
+        pending != partition.m_pending.end() && !pending->second.m_record.has_value();
+    const auto record = partition.m_durable.find(call->m_key);
+    if (record != partition.m_durable.end() && !being_removed)
+        return look_up_record(ticket, *call, record->second, wall);
+
+    ledger_record intent;
+    intent.m_body_hash = call->m_body_hash;
+    intent.m_attempt = call->m_attempt;
+    intent.m_written_s = seconds_of(wall);
+    // One second covers the rounding of both times.
+    intent.m_deadline_s = intent.m_written_s + call->m_call.m_deadline_ms / 1000 + 1;
+    partition.m_pending[call->m_key] = {std::move(intent), call->m_attempt, ticket};
+}
+
+void call_ledger::state::refuse_waiting_intents(ledger_partition& partition)
+{
+    std::vector<std::uint64_t> refused;
+    std::erase_if(
+        partition.m_pending,
+        [&](const auto& item)
+        {
+            const ledger_call* call = find(item.second.m_ticket);
+            if (!call || call->m_phase != call_phase::waiting)
+                return false;
+            refused.push_back(item.second.m_ticket);
+            return true;
+        });
+    for (const auto ticket : refused)
+        answer(ticket, failed_result(failure_kind::overloaded, outcome::not_run));
+}
+
+namespace
+{
+
+ledger_records apply_changes(ledger_records records, const record_changes& changes)
+{
+    for (const auto& [key, change] : changes)
+    {
+        if (change.m_record)
+            records[key] = *change.m_record;
+        else
+            records.erase(key);
+    }
+    return records;
+}
+
+} // namespace
+
+void call_ledger::state::flush(std::uint32_t number, time_point now, wall_time wall)
+{
+    auto& partition = m_partitions[number];
+    if (partition.m_pending.empty() && !partition.m_force_write)
+        return;
+    const std::int64_t oldest = seconds_of(wall) - m_settings.m_retention.count();
+    std::erase_if(
+        partition.m_durable, [&](const auto& item) { return item.second.m_written_s < oldest; });
+    ledger_records records = apply_changes(partition.m_durable, partition.m_pending);
+    std::string value = encode_records(records);
+    if (value.size() > m_settings.m_max_partition_bytes)
+    {
+        // Full of records that must still be kept: new keys are refused, outcomes are written.
+        refuse_waiting_intents(partition);
+        if (partition.m_pending.empty() && !partition.m_force_write)
+            return;
+        records = apply_changes(partition.m_durable, partition.m_pending);
+        value = encode_records(records);
+    }
+    partition.m_in_flight = std::exchange(partition.m_pending, {});
+    for (const auto& [key, change] : partition.m_in_flight)
+    {
+        ledger_call* call = find(change.m_ticket);
+        if (call && call->m_phase == call_phase::waiting)
+            call->m_intent_sent = true;
+    }
+    partition.m_force_write = false;
+    partition.m_writing = true;
+    partition.m_last_use = now;
+    ++m_writes;
+    m_actions.emplace_back(write_partition{number, std::move(value), partition.m_version});
+    partition.m_durable = std::move(records);
+}
+
+void call_ledger::state::advance(std::uint32_t number, time_point now, wall_time wall)
+{
+    auto& partition = m_partitions[number];
+    if (partition.m_reading || partition.m_writing || now < partition.m_retry_at)
+        return;
+    if (partition.m_loaded)
+    {
+        for (const auto ticket : std::exchange(partition.m_waiting, {}))
+            look_up(ticket, wall);
+    }
+    if (partition.m_loaded)
+        return flush(number, now, wall);
+    if (partition.m_waiting.empty() && partition.m_pending.empty() && !partition.m_undecided &&
+        partition.m_abandoned.empty())
+        return;
+    partition.m_reading = true;
+    ++m_reads;
+    m_actions.emplace_back(read_partition{number});
+}
+
+void call_ledger::state::remove_abandoned(ledger_partition& partition)
+{
+    for (const auto& [key, attempt] : partition.m_abandoned)
+    {
+        const auto record = partition.m_durable.find(key);
+        if (record != partition.m_durable.end() && record->second.m_attempt == attempt)
+            partition.m_pending.try_emplace(key, record_change{std::nullopt, attempt, 0});
+    }
+    // An intent that is not there may still arrive with a late write, unless another write comes
+    // first and makes its condition fail.
+    partition.m_force_write = partition.m_force_write || !partition.m_abandoned.empty();
+}
+
+/// Outcomes and removals apply only to the intent of the same attempt. After a write of unknown
+/// result that intent may be gone already, and another process may have written its own.
+void call_ledger::state::drop_superseded_changes(ledger_partition& partition)
+{
+    std::vector<std::uint64_t> settled;
+    std::erase_if(
+        partition.m_pending,
+        [&](const auto& item)
+        {
+            const auto record = partition.m_durable.find(item.first);
+            if (record != partition.m_durable.end() &&
+                record->second.m_attempt == item.second.m_attempt)
+                return false;
+            settled.push_back(item.second.m_ticket);
+            return true;
+        });
+    for (const auto ticket : settled)
+    {
+        const ledger_call* call = find(ticket);
+        if (call && call->m_phase == call_phase::settling)
+            answer(ticket, call->m_result);
+    }
+}
+
+void call_ledger::state::settle_undecided(std::uint32_t number)
+{
+    auto& partition = m_partitions[number];
+    for (auto& [key, change] : std::exchange(partition.m_in_flight, {}))
+    {
+        const ledger_call* call = find(change.m_ticket);
+        const bool intent = change.m_record && change.m_record->m_status == 0;
+        if (!intent)
+            partition.m_pending.try_emplace(key, std::move(change));
+        else if (call && call->m_phase == call_phase::waiting)
+            partition.m_waiting.push_back(change.m_ticket); // Finds its own intent, if written.
+    }
+    partition.m_undecided = false;
+}
+
+void call_ledger::state::adopt(std::uint32_t number, ledger_records records, std::uint64_t version)
+{
+    auto& partition = m_partitions[number];
+    partition.m_durable = std::move(records);
+    partition.m_version = version;
+    partition.m_loaded = true;
+    // Intents not yet sent are looked up again, as another process may have written the same key.
+    std::erase_if(
+        partition.m_pending,
+        [&](const auto& item)
+        {
+            const ledger_call* call = find(item.second.m_ticket);
+            if (!call || call->m_phase != call_phase::waiting)
+                return false;
+            partition.m_waiting.push_back(item.second.m_ticket);
+            return true;
+        });
+    if (partition.m_undecided)
+        settle_undecided(number);
+    drop_superseded_changes(partition);
+    remove_abandoned(partition);
+    for (const auto ticket : partition.m_waiting)
+    {
+        if (ledger_call* call = find(ticket))
+            call->m_read_since_arrival = true;
+    }
+}
+
+void call_ledger::state::written(std::uint32_t number, std::uint64_t version)
+{
+    auto& partition = m_partitions[number];
+    partition.m_version = version;
+    for (const auto& [key, change] : std::exchange(partition.m_in_flight, {}))
+    {
+        const ledger_call* call = find(change.m_ticket);
+        if (call && call->m_phase == call_phase::waiting)
+            run(change.m_ticket);
+        else if (call && call->m_phase == call_phase::settling)
+            answer(change.m_ticket, call->m_result);
+    }
+    remove_abandoned(partition);
+    // From here on a late write of an earlier version fails its condition.
+    partition.m_abandoned.clear();
+    partition.m_force_write = false;
+}
+
+void call_ledger::state::expire(std::uint64_t ticket, time_point now)
+{
+    ledger_call& call = m_calls.at(ticket);
+    // Recipients that joined later have later deadlines of their own.
+    ledger_call late;
+    const auto split = std::stable_partition(
+        call.m_recipients.begin(), call.m_recipients.end(),
+        [&](const call_recipient& recipient) { return recipient.m_deadline > now; });
+    late.m_recipients.assign(
+        std::make_move_iterator(split), std::make_move_iterator(call.m_recipients.end()));
+    call.m_recipients.erase(split, call.m_recipients.end());
+    if (late.m_recipients.empty())
+        return;
+    switch (call.m_phase)
+    {
+    case call_phase::running:
+        answer_recipients(late, failed_result(failure_kind::outcome_unknown, outcome::unknown));
+        return;
+    case call_phase::settling:
+        answer_recipients(late, call.m_result);
+        return;
+    case call_phase::waiting:
+        break;
+    }
+    if (!call.m_recipients.empty())
+    {
+        // The call goes on for another recipient, so for this one it may yet run.
+        answer_recipients(late, failed_result(failure_kind::key_in_progress, outcome::unknown));
+        return;
+    }
+    // First forgotten here, so that it cannot run when its write turns out to have succeeded.
+    auto& partition = m_partitions[call.m_partition];
+    const auto pending = partition.m_pending.find(call.m_key);
+    if (pending != partition.m_pending.end() && pending->second.m_ticket == ticket)
+        partition.m_pending.erase(pending);
+    if (call.m_intent_sent)
+        partition.m_abandoned[call.m_key] = call.m_attempt;
+    m_ticket_by_key.erase(call.m_key);
+    m_calls.erase(ticket);
+    answer_recipients(late, failed_result(failure_kind::platform_unavailable, outcome::not_run));
+}
+
+call_ledger::call_ledger(call_ledger_settings settings)
+    : m_state(std::make_unique<state>(std::move(settings)))
+{
+}
+
+call_ledger::~call_ledger() = default;
+
+call_ledger::actions call_ledger::begin(const service_call& call, time_point now, wall_time wall)
+{
+    m_state->begin(call, now);
+    const std::uint32_t number =
+        partition_of(call.m_account, call.m_service, call.m_key, m_state->m_settings.m_partitions);
+    m_state->advance(number, now, wall);
+    return m_state->take_actions();
+}
+
+call_ledger::actions call_ledger::on_read(
+    std::uint32_t number, const absl::StatusOr<platform_object>& result, time_point now,
+    wall_time wall)
+{
+    auto& partition = m_state->m_partitions[number];
+    partition.m_reading = false;
+    // A version below the known one is a stale read.
+    const bool usable = result.ok() && result->m_version >= partition.m_version;
+    auto records = usable ? decode_records(result->m_value)
+                          : absl::StatusOr<ledger_records>(
+                                make_failure(failure_kind::platform_unavailable, "no usable read"));
+    if (records.ok())
+        m_state->adopt(number, *std::move(records), result->m_version);
+    else
+        partition.m_retry_at = now + retry_pause;
+    m_state->advance(number, now, wall);
+    return m_state->take_actions();
+}
+
+call_ledger::actions call_ledger::on_written(
+    std::uint32_t number, const absl::StatusOr<std::uint64_t>& result, time_point now,
+    wall_time wall)
+{
+    auto& partition = m_state->m_partitions[number];
+    partition.m_writing = false;
+    if (result.ok())
+        m_state->written(number, *result);
+    else
+    {
+        // After a conflict, or when the answer was lost, only a read shows what is there. A write
+        // that was surely refused is settled the same way, which costs one read in an outage.
+        partition.m_undecided = true;
+        partition.m_loaded = false;
+        if (kind_of(result.status()) != failure_kind::conflict)
+            partition.m_retry_at = now + retry_pause;
+    }
+    m_state->advance(number, now, wall);
+    return m_state->take_actions();
+}
+
+call_ledger::actions call_ledger::on_call_ended(
+    std::uint64_t ticket, const service_result& result, time_point now, wall_time wall)
+{
+    ledger_call* call = m_state->find(ticket);
+    if (!call || call->m_phase != call_phase::running)
+        return {};
+    const std::uint32_t number = call->m_partition;
+    auto& partition = m_state->m_partitions[number];
+    if (!result.m_ok && result.m_outcome == outcome::not_run)
+    {
+        call->m_phase = call_phase::settling;
+        call->m_result = result;
+        partition.m_pending[call->m_key] = {std::nullopt, call->m_attempt, ticket};
+    }
+    else if (!result.m_ok)
+        m_state->answer(ticket, result); // The intent stays, so the key never runs again.
+    else
+    {
+        ledger_record record;
+        record.m_body_hash = call->m_body_hash;
+        record.m_attempt = call->m_attempt;
+        record.m_written_s = seconds_of(wall);
+        record.m_status = result.m_status;
+        record.m_content_type = result.m_content_type;
+        if (result.m_body.size() <= m_state->m_settings.m_max_stored_body_bytes)
+            record.m_body = result.m_body;
+        partition.m_pending[call->m_key] = {std::move(record), call->m_attempt, 0};
+        m_state->answer(ticket, result);
+    }
+    m_state->advance(number, now, wall);
+    return m_state->take_actions();
+}
+
+call_ledger::actions call_ledger::on_tick(time_point now, wall_time wall)
+{
+    std::vector<std::uint64_t> tickets;
+    for (const auto& [ticket, call] : m_state->m_calls)
+        tickets.push_back(ticket);
+    for (const auto ticket : tickets)
+        m_state->expire(ticket, now);
+    for (auto& [number, partition] : m_state->m_partitions)
+        m_state->advance(number, now, wall);
+    std::erase_if(
+        m_state->m_partitions,
+        [&](const auto& item)
+        {
+            const auto& partition = item.second;
+            return now - partition.m_last_use > unload_after && partition.m_pending.empty() &&
+                   partition.m_in_flight.empty() && partition.m_waiting.empty() &&
+                   partition.m_abandoned.empty() && !partition.m_reading && !partition.m_writing &&
+                   !partition.m_force_write;
+        });
+    return m_state->take_actions();
+}
+
+void call_ledger::begin_drain()
+{
+    m_state->m_draining = true;
+}
+
+std::size_t call_ledger::pending() const
+{
+    std::size_t count = m_state->m_calls.size();
+    for (const auto& [number, partition] : m_state->m_partitions)
+        count += partition.m_pending.size() + partition.m_in_flight.size();
+    return count;
+}
+
+std::string call_ledger::dump(std::size_t max_keys) const
+{
+    boost::json::array partitions;
+    for (const auto& [number, partition] : m_state->m_partitions)
+    {
+        partitions.push_back(boost::json::object{
+            {"partition", number},
+            {"version", partition.m_version},
+            {"records", partition.m_durable.size()},
+            {"pending", partition.m_pending.size()},
+            {"in_flight", partition.m_in_flight.size()},
+            {"undecided", partition.m_undecided}});
+    }
+    boost::json::array calls;
+    for (const auto& [ticket, call] : m_state->m_calls)
+    {
+        if (calls.size() >= max_keys)
+            break;
+        calls.push_back(boost::json::object{
+            {"ticket", ticket},
+            {"key_hash", call.m_key},
+            {"phase", static_cast<int>(call.m_phase)},
+            {"recipients", call.m_recipients.size()}});
+    }
+    return boost::json::serialize(boost::json::object{
+        {"calls", std::move(calls)},
+        {"call_count", m_state->m_calls.size()},
+        {"partitions", std::move(partitions)},
+        {"platform_reads", m_state->m_reads},
+        {"platform_writes", m_state->m_writes}});
+}
+
+std::string partition_object_name(std::uint32_t partition)
+{
+    return fmt::format("ledger/{}", partition);
+}
+
+std::uint32_t partition_of(
+    std::string_view account, std::string_view service, std::string_view key,
+    std::uint32_t partitions)
+{
+    const std::string hash = hash_parts({account, service, key});
+    std::uint32_t number = 0;
+    std::from_chars(hash.data(), hash.data() + 8, number, 16);
+    return number % partitions;
+}
+
+} // namespace fulmaryard
