--- a/models/idempotent_call.pml
+++ b/models/idempotent_call.pml
@@ -58,7 +58,7 @@
     :: atomic { seen_version = previous_version; seen_owner = previous_owner }
     fi;
     if
-    :: seen_owner == attempt -> goto run
+    :: seen_owner == attempt -> goto execute
     :: seen_owner != 0 && seen_owner != attempt -> goto done
     :: else
     fi;
@@ -69,7 +69,7 @@
     if
     :: atomic { apply(seen_version, attempt, accepted) };
         if
-        :: accepted -> goto run       /* The answer arrived. */
+        :: accepted -> goto execute       /* The answer arrived. */
         :: accepted -> goto read      /* The answer was lost. */
         :: !accepted -> goto read     /* Conflict. */
         fi
@@ -79,7 +79,7 @@
     :: abandoned[id] = true; goto done
     fi;
 
-run:
+execute:
     atomic {
         assert(!abandoned[id]);
         runs++;
