Add stage node and stream owner

A new last stage hears the known tokens of every other stage before it samples, so that it does not depend on deterministic sampling. Builds; not tested yet.

--- a/include/fulmaryard/open_stream.hpp
+++ b/include/fulmaryard/open_stream.hpp
@@ -27,7 +27,9 @@
     std::string m_owner_address; ///< Where tokens and answers to the owner go.
     std::string
         m_prompt; ///< Text; sent to every stage, since any may be asked to hand over the stream.
-    std::vector<token> m_known_tokens; ///< Generated tokens the owner holds; set for stage 0.
+    std::vector<token> m_known_tokens; ///< Generated tokens the owner holds; sent to every stage.
+    /// Engine sessions begun under a lower epoch number are discarded, with the tokens they know.
+    std::uint32_t m_sessions_from{0};
     std::uint32_t m_max_tokens{0};     ///< Limit of generated tokens.
     std::uint32_t m_priority{0};       ///< Higher runs first.
     std::uint64_t m_generation{0};     ///< Configuration generation the plan was made under.
@@ -39,7 +41,7 @@
     {
         archive(
             m_stream, m_epoch, m_plan, m_stage, m_model, m_account, m_request_id, m_owner_address,
-            m_prompt, m_known_tokens, m_max_tokens, m_priority, m_generation);
+            m_prompt, m_known_tokens, m_sessions_from, m_max_tokens, m_priority, m_generation);
     }
 };
 
--- a/include/fulmaryard/pull.hpp
+++ b/include/fulmaryard/pull.hpp
@@ -2,6 +2,7 @@
 #define FULMARYARD_PULL_HPP
 
 #include <fulmaryard/epoch.hpp>
+#include <fulmaryard/pull_kind.hpp>
 #include <fulmaryard/stream_id.hpp>
 
 #include <compare>
@@ -19,13 +20,14 @@
     epoch m_epoch;
     std::uint32_t m_from{0};
     std::string m_reply_address; ///< Peer address of the consumer.
+    pull_kind m_kind{pull_kind::outputs};
 
     friend auto operator<=>(const pull&, const pull&) = default;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(m_stream, m_epoch, m_from, m_reply_address);
+        archive(m_stream, m_epoch, m_from, m_reply_address, m_kind);
     }
 };
 
--- a/include/fulmaryard/stream_attached.hpp
+++ b/include/fulmaryard/stream_attached.hpp
@@ -24,6 +24,7 @@
     std::string m_model;
     std::string m_prompt;
     std::vector<token> m_tokens; ///< Generated tokens known at the stage.
+    std::uint32_t m_sessions_from{0}; ///< See `open_stream`.
     std::uint32_t m_max_tokens{0};
     std::uint32_t m_priority{0};
     bool m_finished{false};
@@ -34,7 +35,7 @@
     void serialize(Archive& archive)
     {
         archive(
-            m_stream, m_epoch, m_plan, m_model, m_prompt, m_tokens, m_max_tokens, m_priority,
+            m_stream, m_epoch, m_plan, m_model, m_prompt, m_tokens, m_sessions_from, m_max_tokens, m_priority,
             m_finished);
     }
 };
--- /dev/null
+++ b/src/stage_node.cpp
@@ -0,0 +1,819 @@
+#include <fulmaryard/stage_node.hpp>
+
+#include "stage_stream.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+// A consumer that hears nothing for this long pulls again. Losses are normally noticed by a link
+// event; this covers a message that was dropped because its receiver had not been opened yet.
+constexpr std::chrono::milliseconds repull_interval{1000};
+
+// One message must stay well below the byte limit of a link's queue (8 MiB).
+constexpr std::size_t max_message_bytes = 1024 * 1024;
+
+constexpr std::size_t max_early_pulls = 8; // Two of each neighbour and of the owner.
+
+} // namespace
+
+struct stage_node::state
+{
+    using stream_map = absl::flat_hash_map<stream_id, std::unique_ptr<stage_stream>>;
+
+    stage_node_settings m_settings;
+    stream_map m_streams;
+    absl::flat_hash_map<std::uint64_t, stream_id> m_runs; ///< In flight.
+    std::map<std::uint64_t, stream_id> m_retaining;       ///< Streams with outputs, oldest first.
+    std::uint64_t m_last_order{0};
+    std::uint64_t m_last_session{0};
+    std::uint64_t m_last_run{0};
+    std::uint64_t m_generation{0};
+    std::size_t m_active{0};
+    std::size_t m_retained_bytes{0};
+    bool m_draining{false};
+    bool m_engine_up{true};
+    time_point m_now;
+    actions m_actions;
+
+    stage_stream* find(const stream_id& id)
+    {
+        const auto found = m_streams.find(id);
+        return found == m_streams.end() ? nullptr : found->second.get();
+    }
+
+    stage_stream* find_open(const stream_id& id, const epoch& at)
+    {
+        stage_stream* const stream = find(id);
+        return stream && !stream->m_closed && stream->m_open.m_epoch == at ? stream : nullptr;
+    }
+
+    void send(const std::string& address, peer_message message)
+    {
+        m_actions.emplace_back(send_message{address, std::move(message)});
+    }
+
+    actions take() { return std::exchange(m_actions, {}); }
+
+    // ---- sessions and memory
+
+    void forget_outputs(stage_stream& stream)
+    {
+        m_retained_bytes -= stream.m_output_bytes;
+        stream.m_output_bytes = 0;
+        stream.m_outputs.clear();
+        stream.m_outputs_first = stream.m_next;
+        m_retaining.erase(stream.m_order);
+    }
+
+    void end_session(stage_stream& stream)
+    {
+        if (stream.m_session != 0 && m_engine_up)
+            m_actions.emplace_back(engine_release{stream.m_open.m_stream, stream.m_session});
+        m_runs.erase(stream.m_run);
+        stream.m_run = 0;
+        stream.m_session = 0;
+        stream.m_next = 0;
+        stream.m_inputs.clear();
+        forget_outputs(stream);
+    }
+
+    void begin_session(stage_stream& stream)
+    {
+        end_session(stream);
+        stream.m_session = ++m_last_session;
+        stream.m_session_epoch = stream.m_open.m_epoch.m_number;
+        stream.m_lost.reset();
+        stream.m_consulted = false;
+    }
+
+    void lose_session(stage_stream& stream, failure_kind reason)
+    {
+        end_session(stream);
+        stream.m_lost = reason;
+        report(stream, stream.m_open.m_stage, reason);
+    }
+
+    void close(stage_stream& stream)
+    {
+        if (stream.m_closed)
+            return;
+        end_session(stream);
+        stream.m_closed = true;
+        stream.m_closed_at = m_now;
+        stream.m_early_pulls.clear();
+        if (!stream.m_finished)
+        {
+            stream.m_tokens.clear();
+            stream.m_open.m_prompt.clear();
+        }
+        --m_active;
+    }
+
+    void report(const stage_stream& stream, std::uint32_t stage, failure_kind reason)
+    {
+        send(
+            stream.m_open.m_owner_address,
+            stage_failed{stream.m_open.m_stream, stream.m_open.m_epoch, stage, reason});
+    }
+
+    // Drops the outputs of the oldest streams first; a later pull for them is answered with
+    // `overloaded`, and the owner reopens the whole plan.
+    void limit_retained()
+    {
+        while (m_retained_bytes > m_settings.m_max_retained_bytes && !m_retaining.empty())
+            forget_outputs(*find(m_retaining.begin()->second));
+    }
+
+    // Closed streams are bounded too: the one closed first goes.
+    void limit_closed()
+    {
+        if (m_streams.size() - m_active <= 4 * m_settings.m_max_streams)
+            return;
+        auto oldest = m_streams.end();
+        for (auto at = m_streams.begin(); at != m_streams.end(); ++at)
+            if (at->second->m_closed && (oldest == m_streams.end() ||
+                                         at->second->m_closed_at < oldest->second->m_closed_at))
+                oldest = at;
+        m_streams.erase(oldest);
+    }
+
+    // ---- opening
+
+    std::optional<failure_kind> reason_to_refuse(const open_stream& open, bool held) const
+    {
+        if (open.m_stage >= open.m_plan.size())
+            return failure_kind::invalid_request;
+        const stage_assignment& own = open.m_plan[open.m_stage];
+        if (own.m_process != m_settings.m_process || own.m_layers != m_settings.m_layers ||
+            open.m_model != m_settings.m_model)
+            return failure_kind::endpoint_lost;
+        if (!m_engine_up)
+            return failure_kind::endpoint_lost;
+        if (held)
+            return std::nullopt;
+        if (open.m_generation < m_generation)
+            return failure_kind::stale_generation;
+        if (m_draining)
+            return failure_kind::draining;
+        if (m_active >= m_settings.m_max_streams)
+            return failure_kind::overloaded;
+        return std::nullopt;
+    }
+
+    void refuse(const open_stream& open, failure_kind reason)
+    {
+        send(
+            open.m_owner_address,
+            stream_refused{open.m_stream, open.m_epoch, open.m_stage, reason});
+    }
+
+    // A refusal is remembered, since a repeated copy of the same open must not be accepted later:
+    // the owner may have told the caller that the request was not run.
+    void remember_refusal(const open_stream& open, failure_kind reason)
+    {
+        auto& stream = m_streams[open.m_stream];
+        if (!stream)
+            stream = std::make_unique<stage_stream>();
+        else
+            close(*stream);
+        stream->m_open = open;
+        stream->m_open.m_prompt.clear();
+        stream->m_open.m_known_tokens.clear();
+        stream->m_tokens.clear();
+        stream->m_finished = false;
+        stream->m_closed = true;
+        stream->m_closed_at = m_now;
+        stream->m_refused = reason;
+        limit_closed();
+    }
+
+    void on(const hello&, const open_stream& open)
+    {
+        stage_stream* stream = find(open.m_stream);
+        if (stream && open.m_epoch <= stream->m_open.m_epoch)
+            return answer_again(*stream, open);
+        const bool held = stream && !stream->m_closed;
+        if (const auto reason = reason_to_refuse(open, held))
+        {
+            remember_refusal(open, *reason);
+            return refuse(open, *reason);
+        }
+        accept(open, held);
+    }
+
+    void answer_again(stage_stream& stream, const open_stream& open)
+    {
+        if (open.m_epoch != stream.m_open.m_epoch)
+            return refuse(open, failure_kind::stale_epoch);
+        if (stream.m_refused)
+            return refuse(open, *stream.m_refused);
+        if (stream.m_closed)
+            return refuse(open, failure_kind::endpoint_lost);
+        stream.m_owner_seen = m_now;
+        if (stream.m_lost)
+            return report(stream, stream.m_open.m_stage, *stream.m_lost);
+        confirm(stream);
+    }
+
+    void confirm(const stage_stream& stream)
+    {
+        send(
+            stream.m_open.m_owner_address, stream_opened{
+                                               stream.m_open.m_stream, stream.m_open.m_epoch,
+                                               stream.m_open.m_stage, stream.m_next});
+    }
+
+    void accept(const open_stream& open, bool held)
+    {
+        auto& slot = m_streams[open.m_stream];
+        if (!held)
+        {
+            slot = std::make_unique<stage_stream>();
+            slot->m_order = ++m_last_order;
+            ++m_active;
+        }
+        stage_stream& stream = *slot;
+        const bool same_place = held && stream.m_open.m_stage == open.m_stage &&
+                                stream.m_open.m_plan.size() == open.m_plan.size();
+        const bool discard = stream.m_session_epoch < open.m_sessions_from;
+        stream.m_open = open;
+        stream.m_open.m_known_tokens.clear();
+        stream.m_owner_seen = m_now;
+        stream.m_input_seen = m_now;
+        if (discard)
+        {
+            stream.m_tokens.clear();
+            stream.m_finished = false;
+        }
+        if (!same_place || discard || stream.m_session == 0)
+            begin_session(stream);
+        if (!learn(stream, 0, open.m_known_tokens))
+            return;
+        confirm(stream);
+        exchange_after_open(stream);
+    }
+
+    void exchange_after_open(stage_stream& stream)
+    {
+        const open_stream& open = stream.m_open;
+        const auto own = open.m_stage;
+        if (stream.is_last() && !stream.m_consulted)
+        {
+            stream.m_unheard.clear();
+            if (open.m_epoch.m_number > std::max(open.m_sessions_from, 1U))
+                for (std::uint32_t other = 0; other < own; ++other)
+                    stream.m_unheard.insert(other);
+            ask_unheard(stream);
+            stream.m_consulted = stream.m_unheard.empty();
+        }
+        if (!stream.is_last() && open.m_epoch.m_number > 1)
+            send_tokens(stream, 0, open.m_plan.back().m_address);
+        pull_inputs(stream);
+        for (const pull& early : std::exchange(stream.m_early_pulls, {}))
+            if (early.m_epoch == open.m_epoch)
+                answer_pull(stream, early);
+        advance(stream);
+    }
+
+    void ask_unheard(const stage_stream& stream)
+    {
+        for (const std::uint32_t other : stream.m_unheard)
+            send(
+                stream.m_open.m_plan[other].m_address,
+                pull{
+                    stream.m_open.m_stream, stream.m_open.m_epoch, 0, m_settings.m_address,
+                    pull_kind::known_tokens});
+    }
+
+    void pull_inputs(stage_stream& stream)
+    {
+        if (stream.m_open.m_plan.size() == 1 || stream.m_session == 0)
+            return;
+        stream.m_input_seen = m_now;
+        const auto from = static_cast<std::uint32_t>(
+            stream.is_first() ? stream.m_tokens.size() : stream.m_next + stream.m_inputs.size());
+        send(
+            stream.previous().m_address, pull{
+                                             stream.m_open.m_stream, stream.m_open.m_epoch, from,
+                                             m_settings.m_address, pull_kind::outputs});
+    }
+
+    // ---- inputs
+
+    // Appends tokens that are new here. Two different tokens with one index mean that this stage's
+    // session belongs to a chain that was abandoned: the session is given up.
+    bool learn(stage_stream& stream, std::uint32_t first, const std::vector<token>& known)
+    {
+        std::size_t index = first;
+        for (const token& each : known)
+        {
+            if (index > stream.m_tokens.size())
+                return true;
+            if (index == stream.m_tokens.size())
+                stream.m_tokens.push_back(each);
+            else if (stream.m_tokens[index] != each)
+            {
+                lose_session(stream, failure_kind::endpoint_lost);
+                return false;
+            }
+            ++index;
+        }
+        if (stream.m_tokens.size() >= stream.m_open.m_max_tokens)
+            stream.m_finished = true;
+        return true;
+    }
+
+    void on(const hello& from, const activations& message)
+    {
+        stage_stream* const stream = find_open(message.m_stream, message.m_epoch);
+        if (!stream || stream->m_session == 0 || stream->is_first() ||
+            stream->previous().m_process != from.m_process || message.m_prompt_positions == 0)
+            return;
+        stream->m_input_seen = m_now;
+        const std::size_t expected = stream->m_next + stream->m_inputs.size();
+        if (message.m_first_position > expected)
+            return pull_inputs(*stream);
+        stream->m_prompt = message.m_prompt_positions;
+        const std::uint32_t first = std::max(message.m_first_position, stream->m_prompt);
+        if (!learn(*stream, first - stream->m_prompt, message.m_input_tokens))
+            return;
+        const std::size_t known = expected - message.m_first_position;
+        for (std::size_t at = known; at < message.m_values.size(); ++at)
+            stream->m_inputs.push_back(message.m_values[at]);
+        advance(*stream);
+    }
+
+    void on(const hello& from, const tokens& message)
+    {
+        stage_stream* const stream = find_open(message.m_stream, message.m_epoch);
+        if (!stream || stream->m_session == 0)
+            return;
+        if (stream->is_last())
+            return hear(*stream, from, message);
+        if (!stream->is_first() || stream->previous().m_process != from.m_process)
+            return;
+        stream->m_input_seen = m_now;
+        if (message.m_first_index > stream->m_tokens.size())
+            return pull_inputs(*stream);
+        if (!learn(*stream, message.m_first_index, message.m_tokens))
+            return;
+        const std::size_t end = message.m_first_index + message.m_tokens.size();
+        if (message.m_finished && end == stream->m_tokens.size())
+            stream->m_finished = true;
+        advance(*stream);
+    }
+
+    void hear(stage_stream& stream, const hello& from, const tokens& message)
+    {
+        for (const std::uint32_t other : stream.m_unheard)
+        {
+            if (stream.m_open.m_plan[other].m_process != from.m_process)
+                continue;
+            if (!learn(stream, message.m_first_index, message.m_tokens))
+                return;
+            if (message.m_finished &&
+                message.m_first_index + message.m_tokens.size() == stream.m_tokens.size())
+                stream.m_finished = true;
+            stream.m_unheard.erase(other);
+            break;
+        }
+        if (!stream.m_unheard.empty() || stream.m_consulted)
+            return;
+        stream.m_consulted = true;
+        publish_tokens(stream, 0);
+        advance(stream);
+    }
+
+    // ---- runs
+
+    void advance(stage_stream& stream)
+    {
+        if (stream.m_closed || stream.m_session == 0 || stream.m_run != 0)
+            return;
+        engine_run run;
+        if (!(stream.is_first() ? fill_first(stream, run) : fill_inner(stream, run)))
+            return;
+        run.m_run = ++m_last_run;
+        run.m_stream = stream.m_open.m_stream;
+        run.m_session = stream.m_session;
+        run.m_first_position = stream.m_next;
+        run.m_priority = stream.m_open.m_priority;
+        stream.m_run = run.m_run;
+        stream.m_run_samples = run.m_sample;
+        m_runs.emplace(run.m_run, run.m_stream);
+        m_actions.emplace_back(std::move(run));
+    }
+
+    // The last token of an answer is the input of no position.
+    std::size_t consumable_tokens(const stage_stream& stream) const
+    {
+        const std::size_t known = stream.m_tokens.size();
+        const bool complete = stream.m_finished || known >= stream.m_open.m_max_tokens;
+        return complete && known > 0 ? known - 1 : known;
+    }
+
+    bool fill_first(stage_stream& stream, engine_run& run)
+    {
+        const std::size_t end = consumable_tokens(stream);
+        const std::size_t begin = stream.m_next == 0 ? 0 : stream.m_next - stream.m_prompt;
+        if (stream.m_next == 0)
+            run.m_prompt = stream.m_open.m_prompt;
+        else if (begin >= end)
+            return false;
+        for (std::size_t at = begin; at < end; ++at)
+            run.m_tokens.push_back(stream.m_tokens[at]);
+        stream.m_run_positions = static_cast<std::uint32_t>(end - begin);
+        run.m_sample = stream.is_last() && end == stream.m_tokens.size();
+        return true;
+    }
+
+    bool fill_inner(stage_stream& stream, engine_run& run)
+    {
+        std::size_t count = stream.m_inputs.size();
+        if (stream.is_last())
+        {
+            // Nothing behind the position that yields a new token can be there yet, and that
+            // position waits until every other stage has said which tokens it knows.
+            const std::size_t end = stream.sampling_position() + (stream.m_consulted ? 1 : 0);
+            count = std::min(count, end > stream.m_next ? end - stream.m_next : 0);
+        }
+        if (count == 0)
+            return false;
+        const auto end = stream.m_inputs.begin() + static_cast<std::ptrdiff_t>(count);
+        run.m_inputs.assign(stream.m_inputs.begin(), end);
+        stream.m_run_positions = static_cast<std::uint32_t>(count);
+        run.m_sample = stream.is_last() && stream.m_next + count == stream.sampling_position() + 1;
+        return true;
+    }
+
+    void on_result(const engine_result& result)
+    {
+        const auto found = m_runs.find(result.m_run);
+        if (found == m_runs.end())
+            return;
+        stage_stream& stream = *find(found->second);
+        m_runs.erase(found);
+        stream.m_run = 0;
+        stream.m_input_seen = m_now;
+        if (stream.is_first() && stream.m_next == 0)
+            stream.m_prompt = result.m_prompt_positions;
+        const std::size_t expected =
+            stream.m_run_positions +
+            (stream.is_first() && stream.m_next == 0 ? stream.m_prompt : 0U);
+        if (result.m_failed || result.m_outputs.size() != expected || stream.m_prompt == 0 ||
+            (stream.m_run_samples && !result.m_sampled))
+            return lose_session(stream, failure_kind::endpoint_failed);
+        take_outputs(stream, result);
+        if (stream.m_run_samples)
+            take_sample(stream, result);
+        advance(stream);
+    }
+
+    void take_outputs(stage_stream& stream, const engine_result& result)
+    {
+        const std::uint32_t first = stream.m_next;
+        stream.m_next += static_cast<std::uint32_t>(result.m_outputs.size());
+        if (!stream.is_first())
+            stream.m_inputs.erase(
+                stream.m_inputs.begin(),
+                stream.m_inputs.begin() + static_cast<std::ptrdiff_t>(result.m_outputs.size()));
+        if (stream.is_last())
+            return;
+        if (stream.m_outputs.empty())
+            stream.m_outputs_first = first;
+        for (const std::string& output : result.m_outputs)
+        {
+            stream.m_output_bytes += output.size();
+            m_retained_bytes += output.size();
+            stream.m_outputs.push_back(output);
+        }
+        m_retaining.emplace(stream.m_order, stream.m_open.m_stream);
+        send_outputs(stream, first, stream.following().m_address);
+        limit_retained();
+    }
+
+    void take_sample(stage_stream& stream, const engine_result& result)
+    {
+        stream.m_tokens.push_back(*result.m_sampled);
+        stream.m_finished =
+            result.m_finished || stream.m_tokens.size() >= stream.m_open.m_max_tokens;
+        publish_tokens(stream, static_cast<std::uint32_t>(stream.m_tokens.size()) - 1);
+    }
+
+    // ---- outputs
+
+    void publish_tokens(const stage_stream& stream, std::uint32_t from)
+    {
+        send_tokens(stream, from, stream.m_open.m_owner_address);
+        if (!stream.is_first())
+            send_tokens(stream, from, stream.m_open.m_plan.front().m_address);
+    }
+
+    void send_tokens(const stage_stream& stream, std::uint32_t from, const std::string& address)
+    {
+        tokens message{stream.m_open.m_stream, stream.m_open.m_epoch, from, {}, stream.m_finished};
+        for (std::size_t at = from; at < stream.m_tokens.size(); ++at)
+            message.m_tokens.push_back(stream.m_tokens[at]);
+        send(address, std::move(message));
+    }
+
+    void send_outputs(const stage_stream& stream, std::uint32_t from, const std::string& address)
+    {
+        std::size_t at = from - stream.m_outputs_first;
+        while (at < stream.m_outputs.size())
+        {
+            activations message;
+            message.m_stream = stream.m_open.m_stream;
+            message.m_epoch = stream.m_open.m_epoch;
+            message.m_first_position = stream.m_outputs_first + static_cast<std::uint32_t>(at);
+            message.m_prompt_positions = stream.m_prompt;
+            std::size_t bytes = 0;
+            for (; at < stream.m_outputs.size() && bytes < max_message_bytes; ++at)
+            {
+                const std::size_t position = stream.m_outputs_first + at;
+                if (position >= stream.m_prompt)
+                    message.m_input_tokens.push_back(stream.m_tokens[position - stream.m_prompt]);
+                bytes += stream.m_outputs[at].size();
+                message.m_values.push_back(stream.m_outputs[at]);
+            }
+            send(address, std::move(message));
+        }
+    }
+
+    void on(const hello& from, const pull& message)
+    {
+        stage_stream* const stream = find(message.m_stream);
+        const bool of_owner = from.m_role == "entry";
+        if (stream && message.m_epoch < stream->m_open.m_epoch)
+        {
+            if (of_owner)
+                refuse_pull(message, failure_kind::stale_epoch);
+            return;
+        }
+        if (!stream || (stream->m_closed && !stream->m_finished))
+        {
+            if (of_owner)
+                refuse_pull(message, failure_kind::endpoint_lost);
+            return;
+        }
+        if (message.m_epoch > stream->m_open.m_epoch)
+        {
+            if (stream->m_early_pulls.size() < max_early_pulls)
+                stream->m_early_pulls.push_back(message);
+            return;
+        }
+        if (of_owner)
+            stream->m_owner_seen = m_now;
+        answer_pull(*stream, message);
+    }
+
+    void refuse_pull(const pull& message, failure_kind reason)
+    {
+        send(message.m_reply_address, stream_refused{message.m_stream, message.m_epoch, 0, reason});
+    }
+
+    void answer_pull(stage_stream& stream, const pull& message)
+    {
+        if (stream.m_lost)
+            return report(stream, stream.m_open.m_stage, *stream.m_lost);
+        if (message.m_kind == pull_kind::keep_alive)
+            return;
+        if (message.m_kind == pull_kind::known_tokens)
+            return send_tokens(stream, 0, message.m_reply_address);
+        if (stream.is_last())
+        {
+            if (message.m_from < stream.m_tokens.size())
+                send_tokens(stream, message.m_from, message.m_reply_address);
+            return;
+        }
+        if (message.m_from >= stream.m_next)
+            return;
+        if (message.m_from < stream.m_outputs_first || stream.m_outputs.empty())
+            return report(stream, stream.m_open.m_stage, failure_kind::overloaded);
+        send_outputs(stream, message.m_from, message.m_reply_address);
+    }
+
+    // ---- end and attach
+
+    void on(const hello&, const cancel_stream& message)
+    {
+        if (stage_stream* const stream = find(message.m_stream))
+        {
+            if (message.m_epoch < stream->m_open.m_epoch)
+                return;
+            stream->m_open.m_epoch = message.m_epoch;
+            return close(*stream);
+        }
+        // The open may arrive after the cancel when links were exchanged in between.
+        open_stream open;
+        open.m_stream = message.m_stream;
+        open.m_epoch = message.m_epoch;
+        remember_refusal(open, failure_kind::endpoint_lost);
+    }
+
+    void on(const hello&, const attach_stream& message)
+    {
+        const stage_stream* const stream = find(message.m_stream);
+        const auto refuse_attach = [&](failure_kind reason) {
+            send(
+                message.m_owner_address,
+                stream_refused{message.m_stream, message.m_epoch, 0, reason});
+        };
+        if (!stream || (stream->m_closed && !stream->m_finished))
+            return refuse_attach(failure_kind::path_not_found);
+        const open_stream& open = stream->m_open;
+        if (open.m_account != message.m_account || open.m_request_id != message.m_request_id)
+            return refuse_attach(failure_kind::forbidden);
+        stream_attached answer;
+        answer.m_stream = message.m_stream;
+        answer.m_epoch = open.m_epoch;
+        answer.m_plan = open.m_plan;
+        answer.m_model = open.m_model;
+        answer.m_prompt = open.m_prompt;
+        answer.m_tokens = stream->m_tokens;
+        answer.m_sessions_from = open.m_sessions_from;
+        answer.m_max_tokens = open.m_max_tokens;
+        answer.m_priority = open.m_priority;
+        answer.m_finished = stream->m_finished;
+        send(message.m_owner_address, std::move(answer));
+    }
+
+    template <typename Other>
+    void on(const hello&, const Other&)
+    {
+        // Not for a stage.
+    }
+
+    // ---- links and time
+
+    void connected(const hello& peer)
+    {
+        for (auto& [id, stream] : m_streams)
+        {
+            if (stream->m_closed || stream->m_session == 0)
+                continue;
+            const auto& plan = stream->m_open.m_plan;
+            for (std::uint32_t stage = 0; stage < plan.size(); ++stage)
+                if (plan[stage].m_address == peer.m_address &&
+                    plan[stage].m_process != peer.m_process)
+                    report(*stream, stage, failure_kind::endpoint_lost);
+            if (stream->previous().m_process == peer.m_process)
+                pull_inputs(*stream);
+            ask_unheard(*stream);
+        }
+    }
+
+    void peer_down(const std::string& address)
+    {
+        for (auto& [id, stream] : m_streams)
+        {
+            if (stream->m_closed || stream->m_open.m_plan.size() == 1)
+                continue;
+            const auto count = static_cast<std::uint32_t>(stream->m_open.m_plan.size());
+            if (stream->following().m_address == address)
+                report(*stream, (stream->m_open.m_stage + 1) % count, failure_kind::endpoint_lost);
+        }
+    }
+
+    void tick()
+    {
+        for (auto at = m_streams.begin(); at != m_streams.end();)
+        {
+            stage_stream& stream = *at->second;
+            if (!stream.m_closed && m_now - stream.m_owner_seen > m_settings.m_orphan_timeout)
+                close(stream);
+            if (stream.m_closed && m_now - stream.m_closed_at > m_settings.m_finished_retention)
+            {
+                m_streams.erase(at++);
+                continue;
+            }
+            if (!stream.m_closed && m_now - stream.m_input_seen > repull_interval &&
+                stream.m_run == 0 && !stream.m_finished)
+            {
+                pull_inputs(stream);
+                ask_unheard(stream);
+            }
+            ++at;
+        }
+    }
+};
+
+stage_node::stage_node(stage_node_settings settings) : m_state(std::make_unique<state>())
+{
+    m_state->m_settings = std::move(settings);
+}
+
+stage_node::~stage_node() = default;
+
+stage_node::actions
+stage_node::on_message(const hello& from, const peer_message& message, time_point now)
+{
+    m_state->m_now = now;
+    std::visit([&](const auto& each) { m_state->on(from, each); }, message);
+    return m_state->take();
+}
+
+stage_node::actions stage_node::on_engine_result(const engine_result& result, time_point now)
+{
+    m_state->m_now = now;
+    m_state->on_result(result);
+    return m_state->take();
+}
+
+stage_node::actions stage_node::on_engine_down(time_point now)
+{
+    m_state->m_now = now;
+    m_state->m_engine_up = false;
+    for (auto& [id, stream] : m_state->m_streams)
+        if (!stream->m_closed && stream->m_session != 0)
+            m_state->lose_session(*stream, failure_kind::endpoint_lost);
+    return m_state->take();
+}
+
+void stage_node::on_engine_up()
+{
+    m_state->m_engine_up = true;
+}
+
+stage_node::actions stage_node::on_peer_connected(const hello& peer, time_point now)
+{
+    m_state->m_now = now;
+    m_state->connected(peer);
+    return m_state->take();
+}
+
+stage_node::actions stage_node::on_peer_down(const std::string& address, time_point now)
+{
+    m_state->m_now = now;
+    m_state->peer_down(address);
+    return m_state->take();
+}
+
+stage_node::actions stage_node::on_tick(time_point now)
+{
+    m_state->m_now = now;
+    m_state->tick();
+    return m_state->take();
+}
+
+void stage_node::begin_drain()
+{
+    m_state->m_draining = true;
+}
+
+void stage_node::set_generation(std::uint64_t generation)
+{
+    m_state->m_generation = std::max(m_state->m_generation, generation);
+}
+
+std::size_t stage_node::active_streams() const
+{
+    const auto& streams = m_state->m_streams;
+    return static_cast<std::size_t>(std::count_if(
+        streams.begin(), streams.end(),
+        [](const auto& each) { return !each.second->m_closed && !each.second->m_finished; }));
+}
+
+std::size_t stage_node::retained_bytes() const
+{
+    return m_state->m_retained_bytes;
+}
+
+std::string stage_node::dump(std::size_t max_streams) const
+{
+    boost::json::array streams;
+    for (const auto& [id, stream] : m_state->m_streams)
+    {
+        if (streams.size() >= max_streams)
+            break;
+        streams.push_back(boost::json::object{
+            {"stream", to_string(id)},
+            {"epoch", stream->m_open.m_epoch.m_number},
+            {"stage", stream->m_open.m_stage},
+            {"next_position", stream->m_next},
+            {"tokens", stream->m_tokens.size()},
+            {"retained_bytes", stream->m_output_bytes},
+            {"closed", stream->m_closed},
+            {"finished", stream->m_finished}});
+    }
+    return boost::json::serialize(boost::json::object{
+        {"process", m_state->m_settings.m_process},
+        {"active", m_state->m_active},
+        {"held", m_state->m_streams.size()},
+        {"retained_bytes", m_state->m_retained_bytes},
+        {"draining", m_state->m_draining},
+        {"engine_up", m_state->m_engine_up},
+        {"streams", std::move(streams)}});
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/stream_owner.cpp
@@ -0,0 +1,536 @@
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/stream_owner.hpp>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+// The stages drop a stream that hears nothing of its owner for 10 s; three messages fit in that.
+constexpr std::chrono::milliseconds keep_alive_interval{3000};
+
+// An owner that receives no token for this long asks the last stage again.
+constexpr std::chrono::milliseconds repull_interval{1000};
+
+enum class life_cycle : std::uint8_t
+{
+    opening,    ///< Some stage has not accepted the plan.
+    running,    ///< Every stage has accepted it.
+    recovering, ///< Waits for the choice of a replacement.
+    ended
+};
+
+std::string_view to_string(life_cycle value)
+{
+    switch (value)
+    {
+    case life_cycle::opening:
+        return "opening";
+    case life_cycle::running:
+        return "running";
+    case life_cycle::recovering:
+        return "recovering";
+    case life_cycle::ended:
+        break;
+    }
+    return "ended";
+}
+
+} // namespace
+
+struct stream_owner::state
+{
+    /// The owner's view of one stage under the current epoch.
+    struct stage_view
+    {
+        bool m_opened{false};
+        time_point m_first_sent;
+        time_point m_last_sent;
+    };
+
+    /// What a process that was sent an open may still do.
+    struct process_record
+    {
+        bool m_refused{false}; ///< Refused the last open that it was sent.
+        bool m_answered{false};
+    };
+
+    stream_owner_settings m_settings;
+    stream_id m_id;
+    stream_request m_request;
+    std::vector<stage_assignment> m_plan;
+    std::vector<stage_view> m_stages;
+    epoch m_epoch;
+    std::uint32_t m_sessions_from{0};
+    life_cycle m_phase{life_cycle::opening};
+    std::vector<token> m_tokens;   ///< All generated tokens that are known, from index 0.
+    std::uint32_t m_delivered{0};  ///< Index of the next token for the caller.
+    bool m_answer_complete{false}; ///< The last of m_tokens ends the answer.
+    std::set<std::size_t> m_choosing;
+    bool m_choosing_plan{false};
+    std::vector<std::string> m_excluded;
+    std::map<std::string, process_record> m_processes;
+    std::uint32_t m_replacements{0};
+    bool m_started{false}; ///< Some stage has accepted a plan.
+    time_point m_now;
+    time_point m_began;
+    time_point m_token_seen;
+    time_point m_kept_alive;
+    actions m_actions;
+
+    actions take() { return std::exchange(m_actions, {}); }
+
+    bool ended() const { return m_phase == life_cycle::ended; }
+
+    // ---- opening
+
+    void send_open(std::size_t stage)
+    {
+        open_stream open;
+        open.m_stream = m_id;
+        open.m_epoch = m_epoch;
+        open.m_plan = m_plan;
+        open.m_stage = static_cast<std::uint32_t>(stage);
+        open.m_model = m_request.m_model;
+        open.m_account = m_request.m_account;
+        open.m_request_id = m_request.m_request_id;
+        open.m_owner_address = m_settings.m_address;
+        open.m_prompt = m_request.m_prompt;
+        if (m_settings.m_recovery == recovery_strategy::rebuild_stage)
+            open.m_known_tokens = m_tokens;
+        open.m_sessions_from = m_sessions_from;
+        open.m_max_tokens = m_request.m_max_tokens;
+        open.m_priority = m_request.m_priority;
+        open.m_generation = m_request.m_generation;
+        m_processes[m_plan[stage].m_process].m_refused = false;
+        m_stages[stage].m_last_sent = m_now;
+        m_actions.emplace_back(send_message{m_plan[stage].m_address, std::move(open)});
+    }
+
+    void begin_epoch()
+    {
+        ++m_epoch.m_number;
+        m_epoch.m_owner = std::hash<std::string>{}(m_settings.m_process);
+        m_phase = life_cycle::opening;
+        m_stages.assign(m_plan.size(), {});
+        m_token_seen = m_now;
+        m_kept_alive = m_now;
+        for (std::size_t stage = 0; stage < m_plan.size(); ++stage)
+        {
+            m_stages[stage].m_first_sent = m_now;
+            send_open(stage);
+        }
+    }
+
+    // Every stage starts again from the prompt, in new engine sessions.
+    void begin_epoch_afresh()
+    {
+        m_sessions_from = m_epoch.m_number + 1;
+        begin_epoch();
+    }
+
+    // ---- losing stages
+
+    void exclude(const std::string& process)
+    {
+        if (std::find(m_excluded.begin(), m_excluded.end(), process) == m_excluded.end())
+            m_excluded.push_back(process);
+    }
+
+    bool count_replacement()
+    {
+        if (m_replacements >= m_settings.m_max_replacements)
+        {
+            fail(failure_kind::endpoint_lost, "too many stages of the stream were lost");
+            return false;
+        }
+        ++m_replacements;
+        return true;
+    }
+
+    void lose(std::size_t stage)
+    {
+        if (ended() || m_choosing_plan || m_choosing.count(stage) != 0)
+            return;
+        exclude(m_plan[stage].m_process);
+        if (!count_replacement())
+            return;
+        m_phase = life_cycle::recovering;
+        if (m_settings.m_recovery == recovery_strategy::restart)
+        {
+            m_choosing_plan = true;
+            m_actions.emplace_back(choose_replacement{stage, m_excluded, true});
+            return;
+        }
+        m_choosing.insert(stage);
+        m_actions.emplace_back(choose_replacement{stage, m_excluded, false});
+    }
+
+    void reopen_everything()
+    {
+        // While replacements are being chosen, the next epoch is about to begin anyway; the stage
+        // without outputs reports again then.
+        if (m_phase != life_cycle::recovering && count_replacement())
+            begin_epoch_afresh();
+    }
+
+    // ---- end
+
+    dispatch_progress progress() const
+    {
+        if (m_started)
+            return dispatch_progress::started;
+        if (m_processes.empty())
+            return dispatch_progress::not_sent;
+        const bool refused = std::all_of(
+            m_processes.begin(), m_processes.end(),
+            [](const auto& each) { return each.second.m_refused; });
+        return refused ? dispatch_progress::refused : dispatch_progress::sent;
+    }
+
+    void cancel_stages()
+    {
+        for (const stage_assignment& stage : m_plan)
+            if (m_processes.count(stage.m_process) != 0 || m_answer_complete)
+                m_actions.emplace_back(send_message{stage.m_address, cancel_stream{m_id, m_epoch}});
+        m_phase = life_cycle::ended;
+    }
+
+    void fail(failure_kind kind, std::string_view message)
+    {
+        if (ended())
+            return;
+        cancel_stages();
+        m_actions.emplace_back(fail_stream{make_failure(kind, message, progress())});
+    }
+
+    // ---- messages
+
+    bool is_stage(std::size_t stage, const hello& from) const
+    {
+        return stage < m_plan.size() && m_plan[stage].m_process == from.m_process;
+    }
+
+    void on(const hello& from, const stream_opened& message)
+    {
+        if (message.m_epoch != m_epoch || !is_stage(message.m_stage, from))
+            return;
+        m_started = true;
+        m_processes[from.m_process].m_answered = true;
+        m_stages[message.m_stage].m_opened = true;
+        const bool all = std::all_of(
+            m_stages.begin(), m_stages.end(), [](const auto& each) { return each.m_opened; });
+        if (m_phase != life_cycle::opening || !all)
+            return;
+        m_phase = life_cycle::running;
+        if (m_epoch.m_number > 1)
+            pull_tokens();
+    }
+
+    void on(const hello& from, const stream_refused& message)
+    {
+        if (message.m_epoch != m_epoch)
+            return;
+        if (message.m_reason == failure_kind::stale_epoch)
+        {
+            // Another owner has taken the stream over: it is not this one's to cancel.
+            m_phase = life_cycle::ended;
+            return;
+        }
+        for (std::size_t stage = 0; stage < m_plan.size(); ++stage)
+        {
+            if (!is_stage(stage, from))
+                continue;
+            m_processes[from.m_process].m_refused = true;
+            if (message.m_reason == failure_kind::stale_generation)
+                return fail(message.m_reason, "the plan was made under an older configuration");
+            return lose(stage);
+        }
+    }
+
+    void on(const hello&, const stage_failed& message)
+    {
+        if (message.m_epoch != m_epoch || message.m_stage >= m_plan.size())
+            return;
+        m_started = true;
+        if (message.m_reason == failure_kind::overloaded)
+            return reopen_everything();
+        lose(message.m_stage);
+    }
+
+    void on(const hello& from, const tokens& message)
+    {
+        if (message.m_epoch != m_epoch || !is_stage(m_plan.size() - 1, from))
+            return;
+        m_started = true;
+        m_token_seen = m_now;
+        if (message.m_first_index > m_tokens.size())
+            return pull_tokens();
+        for (std::size_t at = m_tokens.size() - message.m_first_index; at < message.m_tokens.size();
+             ++at)
+            m_tokens.push_back(message.m_tokens[at]);
+        const std::size_t end = message.m_first_index + message.m_tokens.size();
+        if (message.m_finished && end == m_tokens.size())
+            m_answer_complete = true;
+        deliver();
+    }
+
+    void deliver()
+    {
+        if (m_tokens.size() >= m_request.m_max_tokens)
+            m_answer_complete = true;
+        if (m_tokens.size() > m_delivered || m_answer_complete)
+        {
+            deliver_tokens action{m_delivered, {}, m_answer_complete};
+            for (; m_delivered < m_tokens.size(); ++m_delivered)
+                action.m_tokens.push_back(m_tokens[m_delivered]);
+            m_actions.emplace_back(std::move(action));
+        }
+        if (m_answer_complete)
+            cancel_stages();
+    }
+
+    template <typename Other>
+    void on(const hello&, const Other&)
+    {
+        // Not for an owner.
+    }
+
+    void send_pull(std::size_t stage, pull_kind kind)
+    {
+        m_actions.emplace_back(send_message{
+            m_plan[stage].m_address, pull{
+                                         m_id, m_epoch, static_cast<std::uint32_t>(m_tokens.size()),
+                                         m_settings.m_address, kind}});
+    }
+
+    void pull_tokens()
+    {
+        m_token_seen = m_now;
+        send_pull(m_plan.size() - 1, pull_kind::outputs);
+    }
+
+    // ---- links and time
+
+    void connected(const hello& peer)
+    {
+        for (std::size_t stage = 0; stage < m_plan.size() && !ended(); ++stage)
+        {
+            if (m_plan[stage].m_address != peer.m_address)
+                continue;
+            if (m_plan[stage].m_process != peer.m_process)
+                lose(stage);
+            else if (!m_stages.empty() && !m_stages[stage].m_opened)
+                send_open(stage);
+            else
+                send_pull(
+                    stage, stage + 1 == m_plan.size() ? pull_kind::outputs : pull_kind::keep_alive);
+        }
+    }
+
+    void check_opens()
+    {
+        for (std::size_t stage = 0; stage < m_plan.size() && !ended(); ++stage)
+        {
+            const stage_view& view = m_stages[stage];
+            if (view.m_opened || m_choosing.count(stage) != 0 || m_choosing_plan)
+                continue;
+            // A stage that has answered before is alive as long as its link is; it answers an open
+            // without its engine, but the answer may have been lost.
+            if (!m_processes[m_plan[stage].m_process].m_answered &&
+                m_now - view.m_first_sent >= m_settings.m_open_deadline)
+                lose(stage);
+            else if (m_now - view.m_last_sent >= m_settings.m_open_deadline / 4)
+                send_open(stage);
+        }
+    }
+
+    void keep_alive()
+    {
+        if (m_now - m_kept_alive < keep_alive_interval)
+            return;
+        m_kept_alive = m_now;
+        for (std::size_t stage = 0; stage < m_plan.size(); ++stage)
+            if (m_stages[stage].m_opened)
+                send_pull(stage, pull_kind::keep_alive);
+    }
+
+    void tick()
+    {
+        if (m_now - m_began >= m_settings.m_stream_deadline)
+            return fail(failure_kind::deadline_exceeded, "the stream passed its deadline");
+        check_opens();
+        if (m_phase == life_cycle::running && m_now - m_token_seen >= repull_interval)
+            pull_tokens();
+        if (!ended())
+            keep_alive();
+    }
+};
+
+stream_owner::stream_owner(
+    stream_owner_settings settings, stream_id id, stream_request request,
+    std::vector<stage_assignment> plan)
+    : m_state(std::make_unique<state>())
+{
+    m_state->m_settings = std::move(settings);
+    m_state->m_id = id;
+    m_state->m_request = std::move(request);
+    m_state->m_plan = std::move(plan);
+}
+
+stream_owner::stream_owner(
+    stream_owner_settings settings, stream_request request, const stream_attached& attached,
+    std::uint32_t next_index)
+    : stream_owner(std::move(settings), attached.m_stream, std::move(request), attached.m_plan)
+{
+    m_state->m_request.m_model = attached.m_model;
+    m_state->m_request.m_prompt = attached.m_prompt;
+    m_state->m_request.m_max_tokens = attached.m_max_tokens;
+    m_state->m_request.m_priority = attached.m_priority;
+    m_state->m_epoch = attached.m_epoch;
+    m_state->m_sessions_from = attached.m_sessions_from;
+    m_state->m_tokens = attached.m_tokens;
+    m_state->m_delivered = next_index;
+    m_state->m_answer_complete = attached.m_finished;
+    m_state->m_started = true; // A stage holds the stream.
+}
+
+stream_owner::~stream_owner() = default;
+
+stream_owner::actions stream_owner::start(time_point now)
+{
+    m_state->m_now = now;
+    m_state->m_began = now;
+    if (m_state->m_plan.empty())
+        m_state->fail(failure_kind::no_endpoint, "the plan has no stage");
+    else if (!m_state->m_tokens.empty() || m_state->m_answer_complete)
+        m_state->deliver();
+    if (!m_state->ended())
+        m_state->begin_epoch();
+    return m_state->take();
+}
+
+stream_owner::actions
+stream_owner::on_message(const hello& from, const peer_message& message, time_point now)
+{
+    m_state->m_now = now;
+    const auto handle = [&](const auto& each) { m_state->on(from, each); };
+    if (!m_state->ended())
+        std::visit(handle, message);
+    return m_state->take();
+}
+
+stream_owner::actions stream_owner::on_peer_connected(const hello& peer, time_point now)
+{
+    m_state->m_now = now;
+    m_state->connected(peer);
+    return m_state->take();
+}
+
+stream_owner::actions stream_owner::on_peer_down(const std::string& address, time_point now)
+{
+    m_state->m_now = now;
+    for (std::size_t stage = 0; stage < m_state->m_plan.size(); ++stage)
+        if (m_state->m_plan[stage].m_address == address)
+            m_state->lose(stage);
+    return m_state->take();
+}
+
+stream_owner::actions stream_owner::on_tick(time_point now)
+{
+    m_state->m_now = now;
+    if (!m_state->ended())
+        m_state->tick();
+    return m_state->take();
+}
+
+stream_owner::actions
+stream_owner::replace_stage(std::size_t stage, stage_assignment assignment, time_point now)
+{
+    m_state->m_now = now;
+    if (m_state->ended() || m_state->m_choosing.erase(stage) == 0)
+        return {};
+    m_state->m_plan[stage] = std::move(assignment);
+    if (m_state->m_choosing.empty())
+        m_state->begin_epoch();
+    return m_state->take();
+}
+
+stream_owner::actions stream_owner::replace_plan(std::vector<stage_assignment> plan, time_point now)
+{
+    m_state->m_now = now;
+    if (m_state->ended())
+        return {};
+    if (plan.empty())
+        return fail(failure_kind::no_endpoint, "the new plan has no stage");
+    m_state->m_plan = std::move(plan);
+    m_state->m_choosing.clear();
+    m_state->m_choosing_plan = false;
+    m_state->begin_epoch_afresh();
+    return m_state->take();
+}
+
+stream_owner::actions stream_owner::fail(failure_kind kind, std::string_view message)
+{
+    m_state->fail(kind, message);
+    return m_state->take();
+}
+
+stream_owner::actions stream_owner::cancel()
+{
+    if (!m_state->ended())
+        m_state->cancel_stages();
+    return m_state->take();
+}
+
+bool stream_owner::ended() const
+{
+    return m_state->ended();
+}
+
+stream_id stream_owner::id() const
+{
+    return m_state->m_id;
+}
+
+const std::vector<stage_assignment>& stream_owner::plan() const
+{
+    return m_state->m_plan;
+}
+
+std::uint32_t stream_owner::delivered() const
+{
+    return m_state->m_delivered;
+}
+
+std::uint32_t stream_owner::replacements() const
+{
+    return m_state->m_replacements;
+}
+
+std::string stream_owner::dump() const
+{
+    boost::json::array plan;
+    for (const stage_assignment& stage : m_state->m_plan)
+        plan.push_back(
+            boost::json::object{{"process", stage.m_process}, {"address", stage.m_address}});
+    const std::string_view phase = to_string(m_state->m_phase);
+    return boost::json::serialize(boost::json::object{
+        {"stream", to_string(m_state->m_id)},
+        {"epoch", m_state->m_epoch.m_number},
+        {"phase", boost::json::string_view(phase.data(), phase.size())},
+        {"delivered", m_state->m_delivered},
+        {"replacements", m_state->m_replacements},
+        {"plan", std::move(plan)}});
+}
+
+} // namespace fulmaryard
