--- /dev/null
+++ b/tests/unit/fake_engine.hpp
@@ -0,0 +1,84 @@
+#ifndef FULMARYARD_FAKE_ENGINE_HPP
+#define FULMARYARD_FAKE_ENGINE_HPP
+
+#include <fulmaryard/engine_release.hpp>
+#include <fulmaryard/engine_result.hpp>
+#include <fulmaryard/engine_run.hpp>
+#include <fulmaryard/layer_range.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+/// Layers whose output is a hash chain over input, layer, position and KV state: a layer that is
+/// skipped, repeated, reordered or fed with another input changes every later token.
+class fake_layers
+{
+public:
+    explicit fake_layers(fulmaryard::layer_range range);
+
+    std::uint64_t run(std::uint32_t position, std::uint64_t input);
+
+private:
+    fulmaryard::layer_range m_range;
+    std::vector<std::uint64_t> m_kv;
+};
+
+std::uint64_t mix(std::uint64_t one, std::uint64_t other);
+std::uint64_t input_of(const fulmaryard::token& token);
+
+/// The token sampled from `output`; the low byte of its id is `salt`.
+fulmaryard::token sample(std::uint64_t output, std::uint32_t salt);
+bool ends_answer(std::uint64_t output);
+
+/// The naive loop: all layers in one place. Takes the tokens of `answer` as inputs and returns
+/// the index of the first one that the layers could not have yielded, or nothing.
+std::optional<std::size_t> first_wrong_token(
+    const std::string& prompt, std::uint32_t layers, std::uint32_t max_tokens,
+    const std::vector<fulmaryard::token>& answer, bool complete);
+
+/// The whole answer of the naive loop with salt 0.
+std::vector<fulmaryard::token>
+naive_answer(const std::string& prompt, std::uint32_t layers, std::uint32_t max_tokens);
+
+/// An engine with a journal of its sessions. Notes violations of "once and in order".
+class fake_engine
+{
+public:
+    explicit fake_engine(fulmaryard::layer_range range = {});
+
+    void begin(const fulmaryard::engine_run& run, std::int64_t ready_ms);
+    void release(const fulmaryard::engine_release& release);
+    void lose_state();
+
+    /// Completes the next run that is ready; nothing when there is none.
+    std::optional<fulmaryard::engine_result>
+    complete(std::int64_t now_ms, std::mt19937& random, bool random_sampling);
+
+    std::size_t open_sessions() const;
+
+    std::uint32_t m_sessions_begun{0};
+    std::uint32_t m_positions_run{0};
+    std::vector<std::string> m_violations;
+
+private:
+    struct session
+    {
+        fake_layers m_layers;
+        std::uint32_t m_next{0};
+    };
+    struct pending_run
+    {
+        fulmaryard::engine_run m_run;
+        std::int64_t m_ready_ms{0};
+    };
+
+    fulmaryard::layer_range m_range;
+    std::map<std::uint64_t, session> m_sessions;
+    std::vector<pending_run> m_pending;
+};
+
+#endif
--- /dev/null
+++ b/tests/unit/stream_recovery_test.cpp
@@ -0,0 +1,147 @@
+#include "stream_world.hpp"
+
+#include <doctest/doctest.h>
+
+namespace
+{
+
+struct schedule_totals
+{
+    std::vector<std::string> m_violations;
+    std::uint32_t m_replacements{0};
+    std::uint32_t m_handovers{0};
+    std::uint32_t m_reopened_sessions{0};
+};
+
+schedule_totals run_schedules(schedule_options options, std::uint32_t first, std::uint32_t count)
+{
+    schedule_totals totals;
+    for (std::uint32_t seed = first; seed < first + count; ++seed)
+    {
+        options.m_seed = seed;
+        options.m_stages = 1 + seed % 5;
+        stream_world world(options);
+        world.run();
+        totals.m_replacements += world.m_replacements;
+        totals.m_handovers += world.m_handovers;
+        totals.m_reopened_sessions += world.m_reopened_sessions;
+        totals.m_violations.insert(
+            totals.m_violations.end(), world.m_violations.begin(), world.m_violations.end());
+    }
+    return totals;
+}
+
+void check_clean(const schedule_totals& totals)
+{
+    CHECK(totals.m_violations.empty());
+    for (std::size_t at = 0; at < totals.m_violations.size() && at < 5; ++at)
+        MESSAGE(totals.m_violations[at]);
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("layers_once");
+
+// Guards against a position that is run twice, skipped or fed with another position's input.
+TEST_CASE("every layer runs once for each token under random faults")
+{
+    schedule_options options;
+    SUBCASE("lost and repeated messages replace no stage")
+    {
+        options.m_kills = false;
+        options.m_pauses = false;
+        const auto totals = run_schedules(options, 1, 200);
+        check_clean(totals);
+        CHECK(totals.m_replacements == 0);
+        CHECK(totals.m_reopened_sessions == 0);
+    }
+    SUBCASE("killed, restarted and paused stages are replaced; the others keep their sessions")
+    {
+        const auto totals = run_schedules(options, 1000, 400);
+        check_clean(totals);
+        CHECK(totals.m_replacements > 100);
+        CHECK(totals.m_reopened_sessions == 0);
+    }
+    SUBCASE("engines lose their state as well")
+    {
+        options.m_engine_losses = true;
+        const auto totals = run_schedules(options, 2000, 200);
+        check_clean(totals);
+        CHECK(totals.m_replacements > 50);
+    }
+    SUBCASE("outputs are dropped because of the byte limit")
+    {
+        options.m_max_retained_bytes = 200;
+        const auto totals = run_schedules(options, 3000, 200);
+        check_clean(totals);
+        CHECK(totals.m_reopened_sessions > 0);
+    }
+}
+
+// Guards against the use of step time as evidence of a failure.
+TEST_CASE("slow steps replace no stage")
+{
+    schedule_options options;
+    options.m_breaks = false;
+    options.m_kills = false;
+    options.m_pauses = false;
+    options.m_slowest_step_ms = 2500;
+    const auto totals = run_schedules(options, 4000, 30);
+    check_clean(totals);
+    CHECK(totals.m_replacements == 0);
+}
+
+// Shows that the checks above can fail.
+TEST_CASE("the checks find what the guards prevent")
+{
+    schedule_options options;
+    SUBCASE("restart from the prompt runs positions of surviving stages again")
+    {
+        options.m_random_sampling = false;
+        options.m_recovery = fulmaryard::recovery_strategy::restart;
+        const auto totals = run_schedules(options, 1000, 100);
+        check_clean(totals);
+        CHECK(totals.m_reopened_sessions > 0);
+    }
+    SUBCASE("restart from the prompt contradicts delivered tokens when samples differ")
+    {
+        options.m_recovery = fulmaryard::recovery_strategy::restart;
+        CHECK_FALSE(run_schedules(options, 1000, 100).m_violations.empty());
+    }
+    SUBCASE("without the epoch check an abandoned stage feeds the stream")
+    {
+        options.m_epoch_check = false;
+        CHECK_FALSE(run_schedules(options, 1000, 400).m_violations.empty());
+    }
+}
+
+TEST_SUITE_END();
+
+TEST_SUITE_BEGIN("right_caller");
+
+// Guards against two owners that both feed the stream, and against a lost or repeated token at the
+// caller that reconnects.
+TEST_CASE("another entry takes the stream over")
+{
+    schedule_options options;
+    options.m_handovers = true;
+    options.m_random_sampling = false;
+    SUBCASE("without other faults")
+    {
+        options.m_breaks = false;
+        options.m_kills = false;
+        options.m_pauses = false;
+        const auto totals = run_schedules(options, 5000, 200);
+        check_clean(totals);
+        CHECK(totals.m_handovers > 50);
+        CHECK(totals.m_reopened_sessions == 0);
+    }
+    SUBCASE("while links break and messages repeat")
+    {
+        options.m_kills = false;
+        options.m_pauses = false;
+        check_clean(run_schedules(options, 6000, 200));
+    }
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/unit/stream_world.cpp
@@ -0,0 +1,555 @@
+#include "stream_world.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+using namespace fulmaryard;
+
+namespace
+{
+
+constexpr std::uint32_t layers_per_stage = 2;
+constexpr std::int64_t faults_end_ms = 1500;
+constexpr std::int64_t progress_limit_ms = 60'000;
+
+template <typename Map>
+typename Map::iterator pick(Map& map, std::uint32_t index)
+{
+    auto at = map.begin();
+    std::advance(at, static_cast<std::ptrdiff_t>(index));
+    return at;
+}
+
+} // namespace
+
+stream_world::stream_world(schedule_options options) : m_options(options), m_random(options.m_seed)
+{
+    m_request.m_request_id = "request";
+    m_request.m_account = "account";
+    m_request.m_model = "model";
+    m_request.m_max_tokens = 12 + draw(20);
+    for (std::uint32_t left = 1 + draw(6); left > 0; --left)
+        m_request.m_prompt.push_back(static_cast<char>('a' + draw(26)));
+    m_request.m_generation = 1;
+}
+
+bool stream_world::chance(std::uint32_t per_mille)
+{
+    return draw(1000) < per_mille;
+}
+
+std::uint32_t stream_world::draw(std::uint32_t limit)
+{
+    return static_cast<std::uint32_t>(m_random() % limit);
+}
+
+stream_world::time_point stream_world::now() const
+{
+    return time_point(std::chrono::milliseconds(1'000'000 + m_now_ms));
+}
+
+void stream_world::violation(const std::string& text)
+{
+    m_violations.push_back("seed " + std::to_string(m_options.m_seed) + ": " + text);
+}
+
+side_stand_in& stream_world::spawn(std::size_t stage, const std::string& address)
+{
+    auto side = std::make_unique<side_stand_in>();
+    const auto first = static_cast<std::uint32_t>(stage) * layers_per_stage;
+    const layer_range range{first, first + layers_per_stage};
+    side->m_hello = {"side-" + std::to_string(++m_last_process), "side", address, 1};
+    side->m_stage = stage;
+    side->m_engine = fake_engine(range);
+    stage_node_settings settings;
+    settings.m_process = side->m_hello.m_process;
+    settings.m_address = address;
+    settings.m_model = "model";
+    settings.m_layers = range;
+    settings.m_max_retained_bytes = m_options.m_max_retained_bytes;
+    side->m_node = std::make_unique<stage_node>(settings);
+    side_stand_in& added = *side;
+    m_sides[address] = std::move(side);
+    return added;
+}
+
+stage_assignment stream_world::assignment_of(const side_stand_in& side) const
+{
+    const auto first = static_cast<std::uint32_t>(side.m_stage) * layers_per_stage;
+    return {side.m_hello.m_process, side.m_hello.m_address, {first, first + layers_per_stage}};
+}
+
+side_stand_in* stream_world::side_at(const std::string& address)
+{
+    const auto found = m_sides.find(address);
+    return found == m_sides.end() ? nullptr : found->second.get();
+}
+
+entry_stand_in* stream_world::entry_at(const std::string& address)
+{
+    const auto found = m_entries.find(address);
+    return found == m_entries.end() ? nullptr : found->second.get();
+}
+
+void stream_world::start_stream()
+{
+    std::vector<stage_assignment> plan;
+    for (std::size_t stage = 0; stage < m_options.m_stages; ++stage)
+        plan.push_back(assignment_of(spawn(stage, "side:" + std::to_string(stage))));
+    auto entry = std::make_unique<entry_stand_in>();
+    entry->m_hello = {"entry-0", "entry", "entry:0", 1};
+    stream_owner_settings settings;
+    settings.m_process = entry->m_hello.m_process;
+    settings.m_address = entry->m_hello.m_address;
+    settings.m_max_replacements = 100;
+    settings.m_recovery = m_options.m_recovery;
+    entry->m_owner = std::make_unique<stream_owner>(settings, m_stream, m_request, plan);
+    m_owner_address = "entry:0";
+    entry_stand_in& added = *(m_entries["entry:0"] = std::move(entry));
+    perform(added, added.m_owner->start(now()));
+}
+
+void stream_world::perform(side_stand_in& side, stage_node::actions actions)
+{
+    for (stage_action& action : actions)
+    {
+        if (const auto* const message = std::get_if<send_message>(&action))
+            send(side.m_hello, *message);
+        else if (const auto* const run = std::get_if<engine_run>(&action))
+            side.m_engine.begin(*run, m_now_ms + draw(m_options.m_slowest_step_ms));
+        else
+            side.m_engine.release(std::get<engine_release>(action));
+    }
+}
+
+void stream_world::perform(entry_stand_in& entry, stream_owner::actions actions)
+{
+    for (owner_action& action : actions)
+    {
+        if (const auto* const message = std::get_if<send_message>(&action))
+            send(entry.m_hello, *message);
+        else if (const auto* const delivery = std::get_if<deliver_tokens>(&action))
+            receive(entry, *delivery);
+        else if (const auto* const choice = std::get_if<choose_replacement>(&action))
+            choose(entry, *choice);
+        else
+            entry.m_failed = true;
+    }
+}
+
+// A planner with a lagging view now and then chooses an endpoint that is already gone.
+stage_assignment stream_world::replacement_for(std::size_t stage)
+{
+    const std::string address = "side:" + std::to_string(100 + m_last_process);
+    const stage_assignment chosen = assignment_of(spawn(stage, address));
+    if (m_options.m_kills && m_now_ms < faults_end_ms && chance(100))
+    {
+        m_dead.push_back(std::move(m_sides[address]));
+        m_sides.erase(address);
+    }
+    return chosen;
+}
+
+void stream_world::choose(entry_stand_in& entry, const choose_replacement& choice)
+{
+    if (!choice.m_whole_plan)
+        return perform(
+            entry,
+            entry.m_owner->replace_stage(choice.m_stage, replacement_for(choice.m_stage), now()));
+    std::vector<stage_assignment> plan = entry.m_owner->plan();
+    for (std::size_t stage = 0; stage < plan.size(); ++stage)
+        if (std::count(choice.m_excluded.begin(), choice.m_excluded.end(), plan[stage].m_process) !=
+            0)
+            plan[stage] = replacement_for(stage);
+    perform(entry, entry.m_owner->replace_plan(plan, now()));
+}
+
+void stream_world::receive(entry_stand_in& entry, const deliver_tokens& delivery)
+{
+    if (entry.m_complete)
+        violation("a delivery after the end");
+    if (delivery.m_first_index != entry.m_first_index + entry.m_received.size())
+        violation("a delivery out of order");
+    for (const token& each : delivery.m_tokens)
+        entry.m_received.push_back(each);
+    entry.m_complete = delivery.m_finished;
+}
+
+void stream_world::send(const hello& from, const send_message& message)
+{
+    m_links[{from.m_address, message.m_address}].push_back({from, message.m_message});
+}
+
+void stream_world::run()
+{
+    start_stream();
+    while (m_now_ms < faults_end_ms)
+        step();
+    end_faults();
+    const auto ended = [&]
+    {
+        const entry_stand_in* const entry = entry_at(m_owner_address);
+        return entry->m_owner && entry->m_owner->ended();
+    };
+    while (!ended() && m_now_ms < progress_limit_ms)
+        step();
+    check_answers();
+    const std::int64_t expired = m_now_ms + 45'000;
+    while (m_now_ms < expired)
+        step();
+    check_memory();
+}
+
+void stream_world::step()
+{
+    const std::uint32_t choice = draw(100);
+    if (choice < 70)
+        deliver_one();
+    else if (choice < 85)
+        run_engines();
+    else if (choice < 97 || m_now_ms >= faults_end_ms)
+        advance_time();
+    else if (chance(150))
+        inject_fault();
+}
+
+void stream_world::deliver_one()
+{
+    if (m_links.empty())
+        return advance_time();
+    const auto at = pick(m_links, draw(static_cast<std::uint32_t>(m_links.size())));
+    const std::string address = at->first.second;
+    const side_stand_in* const side = side_at(address);
+    const entry_stand_in* const entry = entry_at(address);
+    if ((side && side->m_paused) || (entry && entry->m_paused))
+        return advance_time();
+    in_flight message = at->second.front();
+    at->second.pop_front();
+    if (m_options.m_duplicates && m_now_ms < faults_end_ms && chance(50))
+        at->second.push_back(message);
+    if (at->second.empty())
+        m_links.erase(at);
+    deliver(address, std::move(message));
+}
+
+void stream_world::deliver(const std::string& address, in_flight message)
+{
+    if (side_stand_in* const side = side_at(address))
+    {
+        if (const auto* const open = std::get_if<open_stream>(&message.m_message))
+            if (open->m_epoch > side->m_epoch)
+            {
+                side->m_epoch = open->m_epoch;
+                side->m_plan = open->m_plan;
+            }
+        if (!m_options.m_epoch_check)
+            remove_epoch_check(*side, message);
+        return perform(*side, side->m_node->on_message(message.m_from, message.m_message, now()));
+    }
+    entry_stand_in* const entry = entry_at(address);
+    if (!entry)
+        return;
+    if (const auto* const attached = std::get_if<stream_attached>(&message.m_message))
+        entry->m_attached.push_back(*attached);
+    else if (entry->m_owner)
+        perform(*entry, entry->m_owner->on_message(message.m_from, message.m_message, now()));
+}
+
+// Without its epoch and sender a message of an abandoned stage passes for one of its successor.
+void stream_world::remove_epoch_check(const side_stand_in& side, in_flight& message) const
+{
+    if (side.m_plan.empty())
+        return;
+    const std::size_t count = side.m_plan.size();
+    const std::string producer = side.m_plan[(side.m_stage + count - 1) % count].m_process;
+    if (auto* const input = std::get_if<activations>(&message.m_message))
+        input->m_epoch = side.m_epoch;
+    else if (auto* const generated = std::get_if<tokens>(&message.m_message))
+        generated->m_epoch = side.m_epoch;
+    else
+        return;
+    message.m_from.m_process = producer;
+}
+
+void stream_world::run_engines()
+{
+    std::vector<side_stand_in*> sides;
+    for (auto& [address, side] : m_sides)
+        if (!side->m_paused)
+            sides.push_back(side.get());
+    if (sides.empty())
+        return;
+    side_stand_in& side = *sides[draw(static_cast<std::uint32_t>(sides.size()))];
+    if (const auto result = side.m_engine.complete(m_now_ms, m_random, m_options.m_random_sampling))
+        perform(side, side.m_node->on_engine_result(*result, now()));
+}
+
+void stream_world::advance_time()
+{
+    const std::int64_t before = m_now_ms;
+    m_now_ms += m_links.empty() ? 10 : 1 + draw(3);
+    if (before / 50 == m_now_ms / 50)
+        return;
+    for (auto& [address, side] : m_sides)
+        if (!side->m_paused)
+            perform(*side, side->m_node->on_tick(now()));
+    // A planner's choice may add sides, but no entries.
+    for (auto& [address, entry] : m_entries)
+        if (entry->m_owner && !entry->m_paused)
+            perform(*entry, entry->m_owner->on_tick(now()));
+    finish_attach();
+}
+
+void stream_world::inject_fault()
+{
+    switch (draw(6))
+    {
+    case 0:
+    case 1:
+        return m_options.m_breaks ? break_link() : void();
+    case 2:
+        return m_options.m_kills ? kill_side() : void();
+    case 3:
+        return m_options.m_pauses ? pause_side() : void();
+    case 4:
+        if (m_options.m_engine_losses && !m_sides.empty())
+        {
+            side_stand_in& side =
+                *pick(m_sides, draw(static_cast<std::uint32_t>(m_sides.size())))->second;
+            if (side.m_paused)
+                return;
+            side.m_engine.lose_state();
+            perform(side, side.m_node->on_engine_down(now()));
+            side.m_node->on_engine_up();
+        }
+        return;
+    default:
+        return m_options.m_handovers ? hand_over() : void();
+    }
+}
+
+void stream_world::break_link()
+{
+    if (m_links.empty())
+        return;
+    const auto at = pick(m_links, draw(static_cast<std::uint32_t>(m_links.size())));
+    const auto [from, to] = at->first;
+    at->second.erase(
+        at->second.begin() + draw(static_cast<std::uint32_t>(at->second.size())), at->second.end());
+    if (at->second.empty())
+        m_links.erase(at);
+    reconnect(from, to);
+}
+
+void stream_world::reconnect(const std::string& one, const std::string& other)
+{
+    const auto hello_of = [&](const std::string& address) -> const hello*
+    {
+        if (const side_stand_in* const side = side_at(address))
+            return &side->m_hello;
+        const entry_stand_in* const entry = entry_at(address);
+        return entry ? &entry->m_hello : nullptr;
+    };
+    const hello* const first = hello_of(one);
+    const hello* const second = hello_of(other);
+    if (!first || !second)
+        return;
+    const hello first_copy = *first;
+    const hello second_copy = *second;
+    connected(one, second_copy);
+    connected(other, first_copy);
+}
+
+void stream_world::connected(const std::string& at, const hello& peer)
+{
+    if (side_stand_in* const side = side_at(at))
+        perform(*side, side->m_node->on_peer_connected(peer, now()));
+    else if (entry_stand_in* const entry = entry_at(at); entry && entry->m_owner)
+        perform(*entry, entry->m_owner->on_peer_connected(peer, now()));
+}
+
+void stream_world::report_down(const std::string& address)
+{
+    for (auto& [other, side] : m_sides)
+        if (other != address && !side->m_paused)
+            perform(*side, side->m_node->on_peer_down(address, now()));
+    for (auto& [other, entry] : m_entries)
+        if (entry->m_owner && !entry->m_paused)
+            perform(*entry, entry->m_owner->on_peer_down(address, now()));
+}
+
+void stream_world::kill_side()
+{
+    const auto at = pick(m_sides, draw(static_cast<std::uint32_t>(m_sides.size())));
+    const std::string address = at->first;
+    const std::size_t stage = at->second->m_stage;
+    m_dead.push_back(std::move(at->second));
+    m_sides.erase(at);
+    for (auto link = m_links.begin(); link != m_links.end();)
+    {
+        const bool of_killed = link->first.second == address;
+        link = of_killed ? m_links.erase(link) : std::next(link);
+    }
+    if (chance(500))
+        return report_down(address);
+    // Restarted before its peers have noticed: they see another process id at the address.
+    const hello restarted = spawn(stage, address).m_hello;
+    std::vector<std::string> peers;
+    for (const auto& [other, side] : m_sides)
+        peers.push_back(other);
+    for (const auto& [other, entry] : m_entries)
+        peers.push_back(other);
+    for (const std::string& peer : peers)
+        if (peer != address)
+            connected(peer, restarted);
+}
+
+void stream_world::pause_side()
+{
+    side_stand_in& side = *pick(m_sides, draw(static_cast<std::uint32_t>(m_sides.size())))->second;
+    if (side.m_paused)
+        return resume(side);
+    side.m_paused = true;
+    report_down(side.m_hello.m_address);
+}
+
+void stream_world::resume(side_stand_in& side)
+{
+    side.m_paused = false;
+    std::vector<std::string> peers;
+    for (const auto& [other, each] : m_sides)
+        peers.push_back(other);
+    for (const auto& [other, each] : m_entries)
+        peers.push_back(other);
+    for (const std::string& peer : peers)
+        if (peer != side.m_hello.m_address)
+            reconnect(side.m_hello.m_address, peer);
+}
+
+// Kills or pauses the entry and lets another one attach for the same caller.
+void stream_world::hand_over()
+{
+    entry_stand_in& old = *entry_at(m_owner_address);
+    if (!old.m_owner || old.m_owner->ended())
+        return;
+    auto entry = std::make_unique<entry_stand_in>();
+    const std::string number = std::to_string(++m_handovers);
+    entry->m_hello = {"entry-" + number, "entry", "entry:" + number, 1};
+    entry->m_first_index = old.m_first_index + static_cast<std::uint32_t>(old.m_received.size());
+    entry->m_attach_began = m_now_ms;
+    m_owner_address = entry->m_hello.m_address;
+    for (const stage_assignment& stage : old.m_owner->plan())
+        send(
+            entry->m_hello,
+            {stage.m_address,
+             attach_stream{
+                 m_stream, {}, m_request.m_account, m_request.m_request_id, m_owner_address}});
+    m_entries[m_owner_address] = std::move(entry);
+    // Paused for a while, dead, or not paused at all (only the caller's connection broke).
+    if (const std::uint32_t fate = draw(3); fate == 0)
+        old.m_owner.reset();
+    else
+        old.m_paused = fate == 1;
+}
+
+void stream_world::finish_attach()
+{
+    entry_stand_in& entry = *entry_at(m_owner_address);
+    if (entry.m_owner || entry.m_attach_began < 0 || m_now_ms - entry.m_attach_began < 100)
+        return;
+    const auto best = std::max_element(
+        entry.m_attached.begin(), entry.m_attached.end(),
+        [](const auto& one, const auto& other) { return one.m_epoch < other.m_epoch; });
+    if (best == entry.m_attached.end())
+    {
+        // The answers were lost: the entry asks every stage that is there.
+        entry.m_attach_began = m_now_ms;
+        for (const auto& [address, side] : m_sides)
+            send(
+                entry.m_hello,
+                {address,
+                 attach_stream{
+                     m_stream, {}, m_request.m_account, m_request.m_request_id, m_owner_address}});
+        return;
+    }
+    stream_owner_settings settings;
+    settings.m_process = entry.m_hello.m_process;
+    settings.m_address = entry.m_hello.m_address;
+    settings.m_max_replacements = 100;
+    settings.m_recovery = m_options.m_recovery;
+    const stream_attached attached = *best;
+    entry.m_owner =
+        std::make_unique<stream_owner>(settings, m_request, attached, entry.m_first_index);
+    perform(entry, entry.m_owner->start(now()));
+    for (const stage_assignment& stage : attached.m_plan)
+        if (!side_at(stage.m_address))
+            perform(entry, entry.m_owner->on_peer_down(stage.m_address, now()));
+}
+
+void stream_world::end_faults()
+{
+    for (auto& [address, entry] : m_entries)
+        entry->m_paused = false;
+    std::vector<side_stand_in*> paused;
+    for (auto& [address, side] : m_sides)
+        if (side->m_paused)
+            paused.push_back(side.get());
+    for (side_stand_in* const side : paused)
+        resume(*side);
+}
+
+void stream_world::check_answers()
+{
+    const auto layers = static_cast<std::uint32_t>(m_options.m_stages) * layers_per_stage;
+    std::vector<token> answer;
+    const entry_stand_in& last = *entry_at(m_owner_address);
+    const auto expected = naive_answer(m_request.m_prompt, layers, m_request.m_max_tokens);
+    if (!last.m_complete)
+        violation("the answer is incomplete after the faults have ended");
+    for (const auto& [address, entry] : m_entries)
+    {
+        if (entry->m_owner)
+            m_replacements += entry->m_owner->replacements();
+        if (m_options.m_random_sampling)
+            continue;
+        // Every owner, superseded or not, delivered a part of the one answer.
+        for (std::size_t at = 0; at < entry->m_received.size(); ++at)
+            if (entry->m_first_index + at >= expected.size() ||
+                entry->m_received[at] != expected[entry->m_first_index + at])
+                violation("a wrong token at " + entry->m_hello.m_process);
+    }
+    if (m_options.m_random_sampling)
+    {
+        if (const auto wrong = first_wrong_token(
+                m_request.m_prompt, layers, m_request.m_max_tokens, last.m_received,
+                last.m_complete))
+            violation("token " + std::to_string(*wrong) + " does not follow from the answer");
+    }
+    else if (last.m_complete && last.m_first_index + last.m_received.size() != expected.size())
+        violation("the answer has the wrong length");
+}
+
+void stream_world::check_memory()
+{
+    std::vector<side_stand_in*> all;
+    for (auto& [address, side] : m_sides)
+    {
+        all.push_back(side.get());
+        const auto dump = boost::json::parse(side->m_node->dump(10)).as_object();
+        if (dump.at("held").as_int64() != 0 || side->m_node->retained_bytes() != 0 ||
+            side->m_engine.open_sessions() != 0)
+            violation("memory is held after the end: " + side->m_node->dump(10));
+    }
+    for (auto& side : m_dead)
+        all.push_back(side.get());
+    for (const side_stand_in* const side : all)
+    {
+        m_positions_run += side->m_engine.m_positions_run;
+        if (side->m_engine.m_sessions_begun > 1)
+            m_reopened_sessions += side->m_engine.m_sessions_begun - 1;
+        for (const std::string& text : side->m_engine.m_violations)
+            violation(side->m_hello.m_process + ": " + text);
+    }
+}
--- /dev/null
+++ b/tests/unit/stream_world.hpp
@@ -0,0 +1,139 @@
+#ifndef FULMARYARD_STREAM_WORLD_HPP
+#define FULMARYARD_STREAM_WORLD_HPP
+
+#include "fake_engine.hpp"
+
+#include <fulmaryard/stage_node.hpp>
+#include <fulmaryard/stream_owner.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// What a schedule does and which guards it removes.
+struct schedule_options
+{
+    std::uint32_t m_seed{0};
+    std::size_t m_stages{3};
+    bool m_breaks{true};     ///< Links break and lose what they carry.
+    bool m_duplicates{true}; ///< Messages arrive again later.
+    bool m_kills{true};      ///< Stages are killed; some are restarted at the same address.
+    bool m_pauses{true};     ///< Stages stop, are reported down, and resume.
+    bool m_handovers{false}; ///< The entry is killed or paused and another one attaches.
+    bool m_engine_losses{false};
+    bool m_random_sampling{true}; ///< Two samples of one position differ.
+    bool m_epoch_check{true};     ///< False: the receiver takes any message for a current one.
+    std::uint32_t m_slowest_step_ms{40};
+    std::size_t m_max_retained_bytes{1 << 20};
+    fulmaryard::recovery_strategy m_recovery{fulmaryard::recovery_strategy::rebuild_stage};
+};
+
+/// A side process with its engine.
+struct side_stand_in
+{
+    fulmaryard::hello m_hello;
+    std::size_t m_stage{0};
+    fulmaryard::epoch m_epoch; ///< Highest accepted; only for m_epoch_check == false.
+    std::vector<fulmaryard::stage_assignment> m_plan;
+    fake_engine m_engine;
+    std::unique_ptr<fulmaryard::stage_node> m_node;
+    bool m_paused{false};
+};
+
+/// An entry with the one stream it owns, and what its caller has received.
+struct entry_stand_in
+{
+    fulmaryard::hello m_hello;
+    std::unique_ptr<fulmaryard::stream_owner> m_owner;
+    std::vector<fulmaryard::stream_attached> m_attached;
+    std::int64_t m_attach_began{-1};
+    std::uint32_t m_first_index{0};
+    std::vector<fulmaryard::token> m_received;
+    bool m_complete{false};
+    bool m_failed{false};
+    bool m_paused{false};
+};
+
+/// Processes, links and a seeded scheduler in virtual time. Messages on one link stay in order;
+/// everything else is interleaved at random. `m_violations` lists what the checks found.
+class stream_world
+{
+public:
+    explicit stream_world(schedule_options options);
+
+    /// Faults for a while, then none until the stream has ended, then 45 s for memory to expire.
+    void run();
+
+    std::vector<std::string> m_violations;
+    std::uint32_t m_replacements{0};
+    std::uint32_t m_handovers{0};
+    std::uint32_t m_reopened_sessions{0};
+    std::uint32_t m_positions_run{0};
+
+private:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    struct in_flight
+    {
+        fulmaryard::hello m_from;
+        fulmaryard::peer_message m_message;
+    };
+
+    bool chance(std::uint32_t per_mille);
+    std::uint32_t draw(std::uint32_t limit);
+    time_point now() const;
+    void violation(const std::string& text);
+
+    side_stand_in& spawn(std::size_t stage, const std::string& address);
+    fulmaryard::stage_assignment assignment_of(const side_stand_in& side) const;
+    side_stand_in* side_at(const std::string& address);
+    entry_stand_in* entry_at(const std::string& address);
+
+    void start_stream();
+    void perform(side_stand_in& side, fulmaryard::stage_node::actions actions);
+    void perform(entry_stand_in& entry, fulmaryard::stream_owner::actions actions);
+    void choose(entry_stand_in& entry, const fulmaryard::choose_replacement& choice);
+    fulmaryard::stage_assignment replacement_for(std::size_t stage);
+    void receive(entry_stand_in& entry, const fulmaryard::deliver_tokens& delivery);
+    void send(const fulmaryard::hello& from, const fulmaryard::send_message& message);
+
+    void step();
+    void deliver_one();
+    void deliver(const std::string& address, in_flight message);
+    void remove_epoch_check(const side_stand_in& side, in_flight& message) const;
+    void run_engines();
+    void advance_time();
+    void inject_fault();
+    void break_link();
+    void reconnect(const std::string& one, const std::string& other);
+    void connected(const std::string& at, const fulmaryard::hello& peer);
+    void report_down(const std::string& address);
+    void kill_side();
+    void pause_side();
+    void resume(side_stand_in& side);
+    void hand_over();
+    void finish_attach();
+    void end_faults();
+    void check_answers();
+    void check_memory();
+
+    schedule_options m_options;
+    std::mt19937 m_random;
+    std::int64_t m_now_ms{0};
+    std::uint32_t m_last_process{0};
+    std::map<std::string, std::unique_ptr<side_stand_in>> m_sides;    // By address.
+    std::map<std::string, std::unique_ptr<entry_stand_in>> m_entries; // By address.
+    std::vector<std::unique_ptr<side_stand_in>> m_dead;
+    std::map<std::pair<std::string, std::string>, std::deque<in_flight>> m_links;
+    std::string m_owner_address;
+    fulmaryard::stream_id m_stream{7, 7};
+    fulmaryard::stream_request m_request;
+};
+
+#endif
