--- a/tests/unit/stream_recovery_test.cpp
+++ b/tests/unit/stream_recovery_test.cpp
@@ -142,6 +142,11 @@
         options.m_pauses = false;
         check_clean(run_schedules(options, 6000, 200));
     }
+    SUBCASE("while stages are killed, restarted, paused and resumed")
+    {
+        options.m_engine_losses = true;
+        check_clean(run_schedules(options, 7000, 400));
+    }
 }
 
 TEST_SUITE_END();
--- a/tests/unit/stream_world.hpp
+++ b/tests/unit/stream_world.hpp
@@ -30,6 +30,7 @@
     bool m_random_sampling{true}; ///< Two samples of one position differ.
     bool m_epoch_check{true};     ///< False: the receiver takes any message for a current one.
     std::uint32_t m_slowest_step_ms{40};
+    std::uint32_t m_fault_per_mille{300}; ///< Of the steps in which a fault may happen.
     std::size_t m_max_retained_bytes{1 << 20};
     fulmaryard::recovery_strategy m_recovery{fulmaryard::recovery_strategy::rebuild_stage};
 };
