--- a/src/stage_node.cpp
+++ b/src/stage_node.cpp
@@ -202,6 +202,9 @@
         stage_stream* stream = find(open.m_stream);
         if (stream && open.m_epoch <= stream->m_open.m_epoch)
             return answer_again(*stream, open);
+        if (stream && stream->m_closed && stream->m_finished &&
+            stream->m_session_epoch >= open.m_sessions_from && open.m_stage < open.m_plan.size())
+            return hand_over_finished(*stream, open);
         const bool held = stream && !stream->m_closed;
         if (const auto reason = reason_to_refuse(open, held))
         {
@@ -211,6 +214,18 @@
         accept(open, held);
     }
 
+    // The answer was completed and cancelled by an earlier owner after the new one had attached:
+    // there is nothing left to run.
+    void hand_over_finished(stage_stream& stream, const open_stream& open)
+    {
+        stream.m_open = open;
+        stream.m_open.m_known_tokens.clear();
+        stream.m_closed_at = m_now;
+        confirm(stream);
+        send_tokens(
+            stream, 0, stream.is_last() ? open.m_owner_address : open.m_plan.back().m_address);
+    }
+
     void answer_again(stage_stream& stream, const open_stream& open)
     {
         if (open.m_epoch != stream.m_open.m_epoch)
@@ -218,7 +233,7 @@
         if (stream.m_refused)
             return refuse(open, *stream.m_refused);
         if (stream.m_closed)
-            return refuse(open, failure_kind::endpoint_lost);
+            return stream.m_finished ? confirm(stream) : refuse(open, failure_kind::endpoint_lost);
         stream.m_owner_seen = m_now;
         if (stream.m_lost)
             return report(stream, stream.m_open.m_stage, *stream.m_lost);
--- a/src/stream_owner.cpp
+++ b/src/stream_owner.cpp
@@ -21,6 +21,10 @@
 // An owner that receives no token for this long asks the last stage again.
 constexpr std::chrono::milliseconds repull_interval{1000};
 
+// The low bits of an epoch number count the plans of one owner, the high bits the owners. An owner
+// makes one plan for each of at most 16 replacements by default.
+constexpr unsigned replan_bits = 16;
+
 enum class life_cycle : std::uint8_t
 {
     opening,    ///< Some stage has not accepted the plan.
@@ -53,7 +57,6 @@
     struct stage_view
     {
         bool m_opened{false};
-        time_point m_first_sent;
         time_point m_last_sent;
     };
 
@@ -62,6 +65,7 @@
     {
         bool m_refused{false}; ///< Refused the last open that it was sent.
         bool m_answered{false};
+        time_point m_first_sent; ///< Under any epoch: a new plan does not extend the deadline.
     };
 
     stream_owner_settings m_settings;
@@ -111,7 +115,8 @@
         open.m_max_tokens = m_request.m_max_tokens;
         open.m_priority = m_request.m_priority;
         open.m_generation = m_request.m_generation;
-        m_processes[m_plan[stage].m_process].m_refused = false;
+        const process_record unsent{false, false, m_now};
+        m_processes.try_emplace(m_plan[stage].m_process, unsent).first->second.m_refused = false;
         m_stages[stage].m_last_sent = m_now;
         m_actions.emplace_back(send_message{m_plan[stage].m_address, std::move(open)});
     }
@@ -125,10 +130,7 @@
         m_token_seen = m_now;
         m_kept_alive = m_now;
         for (std::size_t stage = 0; stage < m_plan.size(); ++stage)
-        {
-            m_stages[stage].m_first_sent = m_now;
             send_open(stage);
-        }
     }
 
     // Every stage starts again from the prompt, in new engine sessions.
@@ -346,8 +348,8 @@
                 continue;
             // A stage that has answered before is alive as long as its link is; it answers an open
             // without its engine, but the answer may have been lost.
-            if (!m_processes[m_plan[stage].m_process].m_answered &&
-                m_now - view.m_first_sent >= m_settings.m_open_deadline)
+            const process_record& record = m_processes[m_plan[stage].m_process];
+            if (!record.m_answered && m_now - record.m_first_sent >= m_settings.m_open_deadline)
                 lose(stage);
             else if (m_now - view.m_last_sent >= m_settings.m_open_deadline / 4)
                 send_open(stage);
@@ -397,6 +399,9 @@
     m_state->m_request.m_max_tokens = attached.m_max_tokens;
     m_state->m_request.m_priority = attached.m_priority;
     m_state->m_epoch = attached.m_epoch;
+    // Above every epoch that the previous owner can still begin: otherwise one that is paused, or
+    // has not learned of this owner yet, could overtake it by replacing a stage.
+    m_state->m_epoch.m_number |= (1U << replan_bits) - 1;
     m_state->m_sessions_from = attached.m_sessions_from;
     m_state->m_tokens = attached.m_tokens;
     m_state->m_delivered = next_index;
--- a/tests/unit/stream_recovery_test.cpp
+++ b/tests/unit/stream_recovery_test.cpp
@@ -145,7 +145,7 @@
     SUBCASE("while stages are killed, restarted, paused and resumed")
     {
         options.m_engine_losses = true;
-        check_clean(run_schedules(options, 7000, 400));
+        check_clean(run_schedules(options, 7000, 1000));
     }
 }
 
--- a/tests/unit/stream_world.cpp
+++ b/tests/unit/stream_world.cpp
@@ -191,7 +191,7 @@
     const auto ended = [&]
     {
         const entry_stand_in* const entry = entry_at(m_owner_address);
-        return entry->m_owner && entry->m_owner->ended();
+        return entry->m_complete || entry->m_failed;
     };
     const std::int64_t limit =
         progress_limit_ms +
@@ -285,9 +285,15 @@
             sides.push_back(side.get());
     if (sides.empty())
         return;
-    side_stand_in& side = *sides[draw(static_cast<std::uint32_t>(sides.size()))];
-    if (const auto result = side.m_engine.complete(m_now_ms, m_random, m_options.m_random_sampling))
-        perform(side, side.m_node->on_engine_result(*result, now()));
+    // The first that is ready, from a random one on.
+    const std::uint32_t start = draw(static_cast<std::uint32_t>(sides.size()));
+    for (std::size_t tried = 0; tried < sides.size(); ++tried)
+    {
+        side_stand_in& side = *sides[(start + tried) % sides.size()];
+        if (const auto result =
+                side.m_engine.complete(m_now_ms, m_random, m_options.m_random_sampling))
+            return perform(side, side.m_node->on_engine_result(*result, now()));
+    }
 }
 
 void stream_world::advance_time()
@@ -465,6 +471,14 @@
 void stream_world::finish_attach()
 {
     entry_stand_in& entry = *entry_at(m_owner_address);
+    if (entry.m_owner && entry.m_owner->ended() && !entry.m_complete && !entry.m_failed)
+    {
+        // Superseded although its caller is the one that is still there: it attaches again.
+        entry.m_owner.reset();
+        entry.m_attached.clear();
+        entry.m_attach_began = m_now_ms;
+        ++m_reattached;
+    }
     if (entry.m_owner || entry.m_attach_began < 0 || m_now_ms - entry.m_attach_began < 100)
         return;
     const auto best = std::max_element(
@@ -488,8 +502,9 @@
     settings.m_max_replacements = 100;
     settings.m_recovery = m_options.m_recovery;
     const stream_attached attached = *best;
-    entry.m_owner =
-        std::make_unique<stream_owner>(settings, m_request, attached, entry.m_first_index);
+    entry.m_owner = std::make_unique<stream_owner>(
+        settings, m_request, attached,
+        entry.m_first_index + static_cast<std::uint32_t>(entry.m_received.size()));
     perform(entry, entry.m_owner->start(now()));
     for (const stage_assignment& stage : attached.m_plan)
         if (!side_at(stage.m_address))
--- a/tests/unit/stream_world.hpp
+++ b/tests/unit/stream_world.hpp
@@ -74,6 +74,7 @@
     std::vector<std::string> m_violations;
     std::uint32_t m_replacements{0};
     std::uint32_t m_handovers{0};
+    std::uint32_t m_reattached{0};
     std::uint32_t m_reopened_sessions{0};
     std::uint32_t m_positions_run{0};
 
