--- a/src/stage_node.cpp
+++ b/src/stage_node.cpp
@@ -84,6 +84,7 @@
         stream.m_session = 0;
         stream.m_next = 0;
         stream.m_inputs.clear();
+        stream.m_held_sample.reset();
         forget_outputs(stream);
     }
 
@@ -282,7 +283,8 @@
     {
         const open_stream& open = stream.m_open;
         const auto own = open.m_stage;
-        if (stream.is_last() && !stream.m_consulted)
+        // Also for a surviving last stage: a plan that it has missed may have had another one.
+        if (stream.is_last())
         {
             stream.m_unheard.clear();
             if (open.m_epoch.m_number > std::max(open.m_sessions_from, 1U))
@@ -388,12 +390,26 @@
         advance(*stream);
     }
 
+    static bool contradicts(const stage_stream& stream, const tokens& message)
+    {
+        for (std::size_t at = 0; at < message.m_tokens.size(); ++at)
+        {
+            const std::size_t index = message.m_first_index + at;
+            if (index < stream.m_tokens.size() && stream.m_tokens[index] != message.m_tokens[at])
+                return true;
+        }
+        return false;
+    }
+
     void hear(stage_stream& stream, const hello& from, const tokens& message)
     {
         for (const std::uint32_t other : stream.m_unheard)
         {
             if (stream.m_open.m_plan[other].m_process != from.m_process)
                 continue;
+            // A stage whose session belongs to an abandoned chain is the one to be replaced.
+            if (contradicts(stream, message))
+                return report(stream, other, failure_kind::endpoint_lost);
             if (!learn(stream, message.m_first_index, message.m_tokens))
                 return;
             if (message.m_finished &&
@@ -405,6 +421,8 @@
         if (!stream.m_unheard.empty() || stream.m_consulted)
             return;
         stream.m_consulted = true;
+        if (const auto held = std::exchange(stream.m_held_sample, std::nullopt))
+            take_sample(stream, *held);
         publish_tokens(stream, 0);
         advance(stream);
     }
@@ -517,8 +535,17 @@
         limit_retained();
     }
 
+    // A sample that returns while other stages are being asked waits for them. If they know a token
+    // of that index, theirs counts: it may have been consumed, and this one has not.
     void take_sample(stage_stream& stream, const engine_result& result)
     {
+        if (!stream.m_consulted)
+        {
+            stream.m_held_sample = result;
+            return;
+        }
+        if (stream.m_next - stream.m_prompt != stream.m_tokens.size())
+            return;
         stream.m_tokens.push_back(*result.m_sampled);
         stream.m_finished =
             result.m_finished || stream.m_tokens.size() >= stream.m_open.m_max_tokens;
--- a/src/stage_stream.hpp
+++ b/src/stage_stream.hpp
@@ -1,6 +1,7 @@
 #ifndef FULMARYARD_STAGE_STREAM_HPP
 #define FULMARYARD_STAGE_STREAM_HPP
 
+#include <fulmaryard/engine_result.hpp>
 #include <fulmaryard/failure_kind.hpp>
 #include <fulmaryard/open_stream.hpp>
 #include <fulmaryard/pull.hpp>
@@ -49,10 +50,12 @@
     std::vector<std::string> m_outputs;
     std::size_t m_output_bytes{0};
 
-    /// Other stages whose known tokens a new last stage has not heard yet. It does not sample until
-    /// this is empty: a surviving stage may have consumed a token that this one would sample again.
+    /// Other stages whose known tokens the last stage has not heard under the plan in force. It
+    /// does not sample until this is empty: one of them may have consumed a token that this stage
+    /// would sample again.
     std::set<std::uint32_t> m_unheard;
     bool m_consulted{false};
+    std::optional<engine_result> m_held_sample; ///< Returned while m_unheard was not empty.
 
     std::vector<pull> m_early_pulls; ///< Of a higher epoch than m_open's; answered once opened.
 
