--- a/tests/unit/stream_world.hpp
+++ b/tests/unit/stream_world.hpp
@@ -75,6 +75,7 @@
     std::uint32_t m_replacements{0};
     std::uint32_t m_handovers{0};
     std::uint32_t m_reattached{0};
+    std::uint32_t m_lost_with_all_holders{0};
     std::uint32_t m_reopened_sessions{0};
     std::uint32_t m_positions_run{0};
 
@@ -119,6 +120,7 @@
     void kill_side();
     void pause_side();
     void resume(side_stand_in& side);
+    void renew_links(const std::string& address);
     void hand_over();
     void finish_attach();
     void end_faults();
