--- /dev/null
+++ b/include/fulmaryard/configuration_parser.hpp
@@ -0,0 +1,26 @@
+#ifndef FULMARYARD_CONFIGURATION_PARSER_HPP
+#define FULMARYARD_CONFIGURATION_PARSER_HPP
+
+#include <fulmaryard/tenant_configuration.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+namespace fulmaryard
+{
+
+/// Reads one declarative file: YAML whose keys are the member names without `m_`; stages are
+/// pairs [begin, end]. Checks that names are unique, that references name existing things and
+/// that the stages of each pipeline cover the layers of its model in order and without gaps.
+/// `invalid_request` with one line "FILE:LINE: KEY: expected ..." for each error.
+absl::StatusOr<tenant_configuration>
+parse_tenant_configuration(std::string_view text, std::string_view file_name);
+
+/// Reads a whole file of at most 1 MB; `invalid_request` when it cannot be read.
+absl::StatusOr<std::string> read_text_file(const std::string& path);
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/tests/unit/settings_parser_test.cpp
@@ -0,0 +1,138 @@
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/settings_parser.hpp>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace fulmaryard;
+
+namespace
+{
+
+const std::string entry_text = R"(name: entry-1
+region: be-1
+failure_domain: be-1a
+listen: 127.0.0.1:8080
+peer_listen: 127.0.0.1:9080
+platform: 127.0.0.1:7000
+)";
+
+const std::string side_text = R"(name: side-1
+region: be-1
+failure_domain: be-1a
+peer_listen: 127.0.0.1:9101
+platform: 127.0.0.1:7000
+)";
+
+bool entry_error_has(const std::string& text, const std::string& part)
+{
+    const auto parsed = parse_entry_settings(text, "entry.yaml");
+    if (parsed.ok())
+        return false;
+    INFO(message_of(parsed.status()));
+    CHECK(kind_of(parsed.status()) == failure_kind::invalid_request);
+    const bool found = message_of(parsed.status()).find(part) != std::string_view::npos;
+    CHECK_MESSAGE(found, part);
+    return found;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("unit");
+
+// Guards against settings that are accepted but not the ones the operator wrote.
+TEST_CASE("process settings are read with their defaults")
+{
+    GIVEN("an entry's settings without optional keys")
+    {
+        const auto parsed = parse_entry_settings(entry_text, "entry.yaml");
+        REQUIRE(parsed.ok());
+        CHECK(parsed->m_name == "entry-1");
+        CHECK(parsed->m_listen == "127.0.0.1:8080");
+        CHECK(parsed->m_threads == entry_settings().m_threads);
+        CHECK(parsed->m_drain_limit_ms == 300000);
+    }
+    GIVEN("a side process's settings beside an engine")
+    {
+        const auto parsed = parse_side_settings(
+            side_text + "engine: 127.0.0.1:9201\nmax_retained_bytes: 5000000000\n", "side.yaml");
+        REQUIRE(parsed.ok());
+        CHECK(parsed->m_engine == "127.0.0.1:9201");
+        CHECK(parsed->m_max_retained_bytes == 5'000'000'000U);
+    }
+}
+
+// Guards against a mistake that is ignored, or reported without the place to correct.
+TEST_CASE("settings errors name file, line, key and what was expected")
+{
+    SUBCASE("an unknown key")
+    {
+        CHECK(entry_error_has(entry_text + "lisen: x\n", "entry.yaml:7: lisen: expected one of"));
+    }
+    SUBCASE("a missing value")
+    {
+        CHECK(entry_error_has("name: entry-1\n", "platform: expected a value; it is missing"));
+    }
+    SUBCASE("a wrong type")
+    {
+        CHECK(entry_error_has(entry_text + "threads: [2]\n", "entry.yaml:7: threads: expected a"));
+        CHECK(entry_error_has(entry_text + "threads: \"2\"\n", "7: threads: expected a number"));
+        CHECK(entry_error_has(entry_text + "threads: 2.5\n", "7: threads: expected a number"));
+        CHECK(entry_error_has(entry_text + "threads: -1\n", "7: threads: expected a number"));
+        CHECK(entry_error_has(entry_text + "threads:\n", "7: threads: expected a value"));
+        CHECK(entry_error_has(entry_text + "peers: 1\n", "7: peers: expected a list"));
+    }
+    SUBCASE("a number out of range")
+    {
+        CHECK(entry_error_has(entry_text + "threads: 0\n", "expected a number from 1 to 256"));
+        CHECK(entry_error_has(
+            entry_text + "threads: 99999999999999999999\n", "expected a number from 1 to 256"));
+    }
+    SUBCASE("an address with a host name")
+    {
+        CHECK(entry_error_has(
+            entry_text + "peers: [\"localhost:1\"]\n", "peers[0]: expected an address IP:PORT"));
+    }
+    SUBCASE("a key written twice")
+    {
+        CHECK(entry_error_has(entry_text + "name: entry-2\n", "7: name: expected the key only"));
+    }
+    SUBCASE("a malformed key hash")
+    {
+        CHECK(entry_error_has(
+            entry_text + "administrators: [{name: a, key_hash: secret, tenants: [\"*\"]}]\n",
+            "administrators[0].key_hash: expected a key hash"));
+    }
+    SUBCASE("several errors are reported together")
+    {
+        const std::string text = entry_text + "threads: 0\nplanner: fast\nbogus: 1\n";
+        CHECK(entry_error_has(text, "entry.yaml:7: threads"));
+        CHECK(entry_error_has(text, "entry.yaml:8: planner"));
+        CHECK(entry_error_has(text, "entry.yaml:9: bogus"));
+    }
+    SUBCASE("text that is no YAML, empty or not a map")
+    {
+        CHECK(entry_error_has("a: [", "expected YAML"));
+        CHECK(entry_error_has("", "expected"));
+        CHECK(entry_error_has("- 1", "expected a map"));
+        CHECK(entry_error_has("a: 1\n---\nb: 1\n", "expected one YAML document"));
+    }
+    SUBCASE("a file that does not exist")
+    {
+        CHECK_FALSE(parse_entry_settings(std::string("/nonexistent/entry.yaml")).ok());
+    }
+}
+
+TEST_CASE("a side process stands beside either an engine or a worker")
+{
+    CHECK_FALSE(parse_side_settings(side_text, "side.yaml").ok());
+    CHECK_FALSE(parse_side_settings(
+                    side_text + "engine: 127.0.0.1:1\nworker: 127.0.0.1:2\nservice: s\n", "s")
+                    .ok());
+    CHECK_FALSE(parse_side_settings(side_text + "worker: 127.0.0.1:2\n", "side.yaml").ok());
+    CHECK(parse_side_settings(side_text + "worker: 127.0.0.1:2\nservice: orders\n", "side.yaml")
+              .ok());
+}
+
+TEST_SUITE_END();
