--- /dev/null
+++ b/include/fulmaryard/apply_request.hpp
@@ -0,0 +1,29 @@
+#ifndef FULMARYARD_APPLY_REQUEST_HPP
+#define FULMARYARD_APPLY_REQUEST_HPP
+
+#include <fulmaryard/tenant_configuration.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace fulmaryard
+{
+
+/// One operator's wish to put a file in force.
+struct apply_request
+{
+    tenant_configuration m_file;
+    std::string m_apply_id; ///< Unique; asked again with the same one, an apply takes effect once.
+    std::string m_applied_by;
+    std::string m_applied_at; ///< UTC, "2026-12-31T23:59:59Z".
+    /// When set, the apply conflicts if the tenant's file changed after this generation.
+    std::optional<std::uint64_t> m_generation;
+
+    friend auto operator<=>(const apply_request&, const apply_request&) = default;
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/src/configuration_apply.cpp
@@ -0,0 +1,236 @@
+#include <fulmaryard/configuration_apply.hpp>
+#include <fulmaryard/configuration_codec.hpp>
+#include <fulmaryard/failure.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmaryard
+{
+
+configuration_apply::configuration_apply(apply_request request)
+    : m_request(std::move(request)),
+      m_hash(content_hash(m_request.m_file)),
+      m_text(encode_tenant_configuration(m_request.m_file))
+{
+}
+
+apply_step configuration_apply::next() const
+{
+    using action = apply_step::action;
+    switch (m_stage)
+    {
+    case stage::reading:
+        return {action::read, std::string(current_configuration_name), {}, 0, m_after_failure};
+    case stage::storing_file:
+        return {action::write, configuration_file_name(m_hash), m_text, 0, m_after_failure};
+    case stage::updating:
+        return {
+            action::write, std::string(current_configuration_name), m_update, m_version,
+            m_after_failure};
+    case stage::finished:
+        break;
+    }
+    return {};
+}
+
+void configuration_apply::on_read(const absl::StatusOr<platform_object>& result)
+{
+    if (m_stage != stage::reading)
+        return;
+    if (!result.ok())
+    {
+        fail_after_outage(result.status());
+        return;
+    }
+    // A read that is older than an earlier one must not be taken as the base of an update: it would
+    // also hide which version an unanswered update names.
+    m_after_failure = result->m_version < m_version;
+    if (m_after_failure)
+        return;
+    const auto current = decode_current_configuration(result->m_value);
+    if (!current.ok())
+    {
+        finish(make_failure(
+            kind_of(current.status()), message_of(current.status()),
+            m_unanswered ? outcome::unknown : outcome::not_run));
+        return;
+    }
+    if (settle(*current, result->m_version))
+        return;
+    if (conflicts(*current))
+    {
+        m_conflicting_hash = hash_of(*current);
+        finish(make_failure(
+            failure_kind::conflict,
+            fmt::format(
+                "another apply changed the file of tenant {} in generation {}",
+                m_request.m_file.m_tenant, changed_generation(*current)),
+            m_unanswered ? outcome::unknown : outcome::not_run));
+        return;
+    }
+    prepare_update(*current, result->m_version);
+}
+
+void configuration_apply::on_written(const absl::StatusOr<std::uint64_t>& result)
+{
+    if (m_stage == stage::storing_file)
+    {
+        // A conflict means that the file is stored already, since its name is its content.
+        if (result.ok() || kind_of(result.status()) == failure_kind::conflict)
+        {
+            m_file_stored = true;
+            m_after_failure = false;
+            m_stage = stage::updating;
+        }
+        else
+            fail_after_outage(result.status());
+        return;
+    }
+    if (m_stage != stage::updating)
+        return;
+    if (result.ok())
+    {
+        finish(m_accepted);
+        return;
+    }
+    const auto kind = kind_of(result.status());
+    if (kind == failure_kind::platform_unavailable)
+    {
+        // A later refusal says nothing about an earlier update without an answer.
+        m_unanswered = m_unanswered || outcome_of(result.status()) != outcome::not_run;
+        m_stage = stage::reading;
+        m_after_failure = true;
+    }
+    else if (kind == failure_kind::conflict)
+    {
+        // Waits before the next read: at once, many operators would only lose to each other again.
+        m_stage = stage::reading;
+        m_after_failure = true;
+    }
+    else
+        finish(make_failure(
+            kind, message_of(result.status()),
+            m_unanswered ? outcome::unknown : outcome_of(result.status())));
+}
+
+void configuration_apply::on_deadline()
+{
+    if (m_stage == stage::finished)
+        return;
+    finish(make_failure(
+        failure_kind::platform_unavailable,
+        m_unanswered ? "the platform did not say whether the apply was accepted"
+                     : "the platform could not be reached before the deadline",
+        m_unanswered ? outcome::unknown : outcome::not_run));
+}
+
+const absl::StatusOr<applied_file>& configuration_apply::result() const
+{
+    return m_result;
+}
+
+const std::string& configuration_apply::conflicting_hash() const
+{
+    return m_conflicting_hash;
+}
+
+void configuration_apply::finish(absl::StatusOr<applied_file> result)
+{
+    m_result = std::move(result);
+    m_stage = stage::finished;
+}
+
+void configuration_apply::fail_after_outage(const absl::Status& status)
+{
+    if (kind_of(status) == failure_kind::platform_unavailable)
+    {
+        m_after_failure = true;
+        return;
+    }
+    finish(make_failure(
+        kind_of(status), message_of(status), m_unanswered ? outcome::unknown : outcome::not_run));
+}
+
+bool configuration_apply::settle(const current_configuration& current, std::uint64_t version)
+{
+    const auto accepted = std::find_if(
+        current.m_history.begin(), current.m_history.end(),
+        [&](const auto& entry) { return entry.m_apply_id == m_request.m_apply_id; });
+    if (accepted != current.m_history.end())
+    {
+        if (accepted->m_hash == m_hash && accepted->m_tenant == m_request.m_file.m_tenant)
+            finish(*accepted);
+        else
+            finish(make_failure(
+                failure_kind::key_reused, "the apply id was used for another file",
+                dispatch_progress::refused));
+        return true;
+    }
+    // A version beyond the one that the unanswered update names shows that the update will not
+    // take effect any more, and the history shows that it has not, unless it is too short.
+    if (m_unanswered && version > m_version)
+    {
+        const bool covered = !current.m_history.empty() &&
+                             current.m_history.front().m_generation <= m_accepted.m_generation;
+        if (!covered)
+        {
+            finish(make_failure(
+                failure_kind::outcome_unknown,
+                "the history no longer shows whether the apply was accepted", outcome::unknown));
+            return true;
+        }
+        m_unanswered = false;
+    }
+    return false;
+}
+
+bool configuration_apply::conflicts(const current_configuration& current) const
+{
+    // Putting in force what is in force already overwrites nothing.
+    if (hash_of(current) == m_hash)
+        return false;
+    const std::uint64_t changed = changed_generation(current);
+    if (m_request.m_generation && changed > *m_request.m_generation)
+        return true;
+    return m_first_changed && changed > *m_first_changed;
+}
+
+std::uint64_t configuration_apply::changed_generation(const current_configuration& current) const
+{
+    const auto found = current.m_changed.find(m_request.m_file.m_tenant);
+    return found == current.m_changed.end() ? 0 : found->second;
+}
+
+std::string configuration_apply::hash_of(const current_configuration& current) const
+{
+    const auto found = current.m_files.find(m_request.m_file.m_tenant);
+    return found == current.m_files.end() ? std::string() : found->second;
+}
+
+void configuration_apply::prepare_update(current_configuration current, std::uint64_t version)
+{
+    const std::string& tenant = m_request.m_file.m_tenant;
+    if (!m_first_changed)
+        m_first_changed = changed_generation(current);
+    ++current.m_generation;
+    m_accepted = {
+        current.m_generation,  tenant, m_hash, m_request.m_apply_id, m_request.m_applied_by,
+        m_request.m_applied_at};
+    current.m_files[tenant] = m_hash;
+    current.m_changed[tenant] = current.m_generation;
+    current.m_history.push_back(m_accepted);
+    if (current.m_history.size() > max_history)
+    {
+        current.m_history.erase(
+            current.m_history.begin(),
+            current.m_history.end() - static_cast<std::ptrdiff_t>(max_history));
+    }
+    m_version = version;
+    m_update = encode_current_configuration(current);
+    m_stage = m_file_stored ? stage::updating : stage::storing_file;
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/configuration_controller.cpp
@@ -0,0 +1,153 @@
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/configuration_controller.hpp>
+#include <fulmaryard/configuration_state.hpp>
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/log.hpp>
+#include <fulmaryard/platform_client.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds call_deadline{1000};
+// A connection that went silent during a watch is noticed only after the wait and the client's
+// margin of 1 s. With 3 s, two more reads on silent connections still end within 8 s.
+constexpr milliseconds watch_wait{3000};
+constexpr milliseconds first_delay{100};
+// A configuration must be in force within 8 s; this leaves time after the end of an outage.
+constexpr milliseconds longest_delay{1500};
+// How soon a process that begins to watch does so.
+constexpr milliseconds idle_interval{250};
+
+milliseconds with_jitter(milliseconds delay)
+{
+    thread_local std::minstd_rand random{std::random_device{}()};
+    return milliseconds(
+        std::uniform_int_distribution<milliseconds::rep>(delay.count() / 2, delay.count())(random));
+}
+
+} // namespace
+
+configuration_controller::configuration_controller(
+    asio::any_io_executor executor, platform_client& platform, configuration_state& state)
+    : m_platform(platform),
+      m_state(state),
+      m_store(platform),
+      m_timer(std::move(executor))
+{
+}
+
+asio::awaitable<void> configuration_controller::run()
+{
+    milliseconds delay = first_delay;
+    while (!m_stopped)
+    {
+        // A generation from a peer does as well as a first read.
+        const bool started = m_has_read || m_state.generation() != 0;
+        milliseconds pause{0};
+        if (!m_enabled && started)
+            pause = idle_interval;
+        else if (co_await read_next())
+            delay = first_delay;
+        else
+        {
+            pause = with_jitter(delay);
+            delay = std::min(2 * delay, longest_delay);
+        }
+        if (pause > milliseconds(0) && !m_stopped)
+        {
+            m_timer.expires_after(pause);
+            co_await m_timer.async_wait(use_tuple);
+        }
+    }
+}
+
+void configuration_controller::stop()
+{
+    m_stopped = true;
+}
+
+void configuration_controller::watch_platform(bool enabled)
+{
+    m_enabled = enabled;
+}
+
+bool configuration_controller::has_read_platform() const
+{
+    return m_has_read;
+}
+
+bool configuration_controller::platform_reachable() const
+{
+    return m_reachable;
+}
+
+asio::awaitable<bool> configuration_controller::read_next()
+{
+    const std::string name(current_configuration_name);
+    // After an outage a plain read answers at once, also when nothing has changed.
+    const auto object = m_reachable ? co_await m_platform.watch(name, m_version, watch_wait)
+                                    : co_await m_platform.get(name, call_deadline);
+    const bool was_reachable = m_reachable.exchange(object.ok());
+    if (!object.ok())
+    {
+        if (was_reachable || !m_has_read)
+        {
+            log_event(log_level::warning, "platform_unreachable")
+                .with("reason", message_of(object.status()));
+        }
+        co_return false;
+    }
+    if (!was_reachable)
+        log_event(log_level::info, "platform_reachable");
+    // A stale read answers a watch at once; the delay keeps it from being repeated without pause.
+    if (object->m_version < m_version)
+        co_return false;
+    if (object->m_version > m_version && !co_await put_in_force(*object))
+        co_return false;
+    m_version = object->m_version;
+    m_has_read = true;
+    co_return true;
+}
+
+asio::awaitable<bool> configuration_controller::put_in_force(const platform_object& object)
+{
+    auto current = decode_current_configuration(object.m_value);
+    if (!current.ok())
+    {
+        log_event(log_level::error, "configuration_unreadable")
+            .with("version", object.m_version)
+            .with("reason", message_of(current.status()));
+        co_return false;
+    }
+    // A lower or equal one is in force already, through a peer.
+    if (current->m_generation <= m_state.generation())
+        co_return true;
+    const auto loaded = co_await m_store.load(*current, call_deadline);
+    if (!loaded.ok())
+    {
+        log_event(log_level::warning, "configuration_not_loaded")
+            .with("generation", current->m_generation)
+            .with("reason", message_of(loaded.status()));
+        co_return false;
+    }
+    if (m_state.offer(*loaded))
+    {
+        log_event(log_level::info, "configuration_in_force")
+            .with("generation", current->m_generation)
+            .with("source", "platform");
+    }
+    co_return true;
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/configuration_store.cpp
@@ -0,0 +1,167 @@
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/configuration_apply.hpp>
+#include <fulmaryard/configuration_codec.hpp>
+#include <fulmaryard/configuration_difference.hpp>
+#include <fulmaryard/configuration_store.hpp>
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/key_hash.hpp>
+#include <fulmaryard/platform_client.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+// Calls of the platform take milliseconds; one that takes a second will hardly be answered.
+constexpr milliseconds call_deadline{1000};
+constexpr milliseconds first_delay{20};
+constexpr milliseconds longest_delay{500};
+
+/// Half to whole of `delay`, so that competing operators do not stay in step.
+milliseconds with_jitter(milliseconds delay)
+{
+    thread_local std::minstd_rand random{std::random_device{}()};
+    return milliseconds(
+        std::uniform_int_distribution<milliseconds::rep>(delay.count() / 2, delay.count())(random));
+}
+
+milliseconds time_until(std::chrono::steady_clock::time_point due)
+{
+    const auto left = due - std::chrono::steady_clock::now();
+    return std::max(std::chrono::duration_cast<milliseconds>(left), milliseconds(0));
+}
+
+asio::awaitable<void> wait(milliseconds delay)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(delay);
+    co_await timer.async_wait(use_tuple);
+}
+
+asio::awaitable<void> perform(
+    configuration_apply& core, platform_client& platform, apply_step step, milliseconds deadline)
+{
+    if (step.m_action == apply_step::action::read)
+    {
+        const auto object = co_await platform.get(step.m_object, deadline);
+        core.on_read(object);
+        co_return;
+    }
+    const auto version =
+        co_await platform.put(step.m_object, step.m_value, step.m_version, deadline);
+    core.on_written(version);
+}
+
+/// Carries out the steps of `core` until it has finished.
+asio::awaitable<void>
+carry_out(configuration_apply& core, platform_client& platform, milliseconds deadline)
+{
+    const auto due = std::chrono::steady_clock::now() + deadline;
+    milliseconds delay = first_delay;
+    for (auto step = core.next(); step.m_action != apply_step::action::finished; step = core.next())
+    {
+        if (step.m_after_failure)
+        {
+            const milliseconds longest = time_until(due);
+            co_await wait(std::min(with_jitter(delay), longest));
+            delay = std::min(2 * delay, longest_delay);
+        }
+        const milliseconds left = std::min(time_until(due), call_deadline);
+        if (left <= milliseconds(0))
+            core.on_deadline();
+        else
+            co_await perform(core, platform, std::move(step), left);
+    }
+}
+
+} // namespace
+
+configuration_store::configuration_store(platform_client& platform) : m_platform(platform) {}
+
+asio::awaitable<absl::StatusOr<applied_file>> configuration_store::apply(
+    const apply_request& request, milliseconds deadline, std::vector<std::string>& difference)
+{
+    // On the heap: for coroutine frames beyond 2 KB GCC 12 reports Asio's own operators new and
+    // delete as mismatched.
+    const auto core = std::make_unique<configuration_apply>(request);
+    co_await carry_out(*core, m_platform, deadline);
+    if (!core->conflicting_hash().empty())
+    {
+        const auto in_force = co_await read_file(core->conflicting_hash(), call_deadline);
+        if (in_force.ok())
+            difference = configuration_difference(*in_force, request.m_file);
+    }
+    co_return core->result();
+}
+
+asio::awaitable<absl::StatusOr<current_configuration>>
+configuration_store::read_current(milliseconds deadline)
+{
+    const auto object = co_await m_platform.get(std::string(current_configuration_name), deadline);
+    if (!object.ok())
+        co_return object.status();
+    co_return decode_current_configuration(object->m_value);
+}
+
+asio::awaitable<absl::StatusOr<tenant_configuration>>
+configuration_store::read_file(std::string hash, milliseconds deadline)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (const auto found = m_files.find(hash); found != m_files.end())
+            co_return found->second;
+    }
+    const auto object = co_await m_platform.get(configuration_file_name(hash), deadline);
+    if (!object.ok())
+        co_return object.status();
+    auto file = decode_tenant_configuration(object->m_value);
+    // The hash is compared over the stored text, which may hold members of a newer release.
+    if (!file.ok() || sha256_hex(object->m_value) != hash)
+    {
+        co_return make_failure(
+            failure_kind::internal,
+            "object " + configuration_file_name(hash) + " does not hold the file of its name");
+    }
+    const std::lock_guard lock(m_mutex);
+    m_files[hash] = *file;
+    co_return *std::move(file);
+}
+
+asio::awaitable<absl::StatusOr<std::shared_ptr<const configuration>>>
+configuration_store::load(current_configuration current, milliseconds deadline)
+{
+    auto loaded = std::make_shared<configuration>();
+    loaded->m_generation = current.m_generation;
+    for (const auto& [tenant, hash] : current.m_files)
+    {
+        auto file = co_await read_file(hash, deadline);
+        if (!file.ok())
+            co_return file.status();
+        loaded->m_tenants.push_back(*std::move(file));
+    }
+    // Keeps the cache no larger than the configuration.
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(
+        m_files,
+        [&](const auto& cached)
+        {
+            return std::none_of(
+                current.m_files.begin(), current.m_files.end(),
+                [&](const auto& named) { return named.second == cached.first; });
+        });
+    co_return std::shared_ptr<const configuration>(std::move(loaded));
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/current_configuration.cpp
@@ -0,0 +1,132 @@
+#include <fulmaryard/current_configuration.hpp>
+#include <fulmaryard/failure.hpp>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+namespace fulmaryard
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+json::object to_json(const applied_file& entry)
+{
+    return {
+        {"generation", entry.m_generation},
+        {"tenant", entry.m_tenant},
+        {"hash", entry.m_hash},
+        {"apply_id", entry.m_apply_id},
+        {"applied_by", entry.m_applied_by},
+        {"applied_at", entry.m_applied_at}};
+}
+
+bool read(const json::value* source, std::string& value)
+{
+    const auto* text = source == nullptr ? nullptr : source->if_string();
+    if (text != nullptr)
+        value.assign(text->data(), text->size());
+    return text != nullptr;
+}
+
+bool read(const json::value* source, std::uint64_t& value)
+{
+    if (source == nullptr || source->is_double())
+        return false;
+    json::error_code error;
+    value = source->to_number<std::uint64_t>(error);
+    return !error;
+}
+
+template <typename Value>
+bool read(const json::value* source, std::map<std::string, Value>& values)
+{
+    const auto* object = source == nullptr ? nullptr : source->if_object();
+    if (object == nullptr)
+        return false;
+    for (const auto& member : *object)
+    {
+        if (!read(&member.value(), values[std::string(member.key().data(), member.key().size())]))
+            return false;
+    }
+    return true;
+}
+
+bool read(const json::value& source, applied_file& entry)
+{
+    const auto* object = source.if_object();
+    return object != nullptr && read(object->if_contains("generation"), entry.m_generation) &&
+           read(object->if_contains("tenant"), entry.m_tenant) &&
+           read(object->if_contains("hash"), entry.m_hash) &&
+           read(object->if_contains("apply_id"), entry.m_apply_id) &&
+           read(object->if_contains("applied_by"), entry.m_applied_by) &&
+           read(object->if_contains("applied_at"), entry.m_applied_at);
+}
+
+bool read(const json::value* source, std::vector<applied_file>& history)
+{
+    const auto* array = source == nullptr ? nullptr : source->if_array();
+    if (array == nullptr)
+        return false;
+    for (const auto& element : *array)
+    {
+        if (!read(element, history.emplace_back()))
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+std::string encode_current_configuration(const current_configuration& value)
+{
+    json::object files;
+    for (const auto& [tenant, hash] : value.m_files)
+        files[tenant] = hash;
+    json::object changed;
+    for (const auto& [tenant, generation] : value.m_changed)
+        changed[tenant] = generation;
+    json::array history;
+    for (const auto& entry : value.m_history)
+        history.push_back(to_json(entry));
+    json::object object{{"generation", value.m_generation}, {"files", files}, {"changed", changed}};
+    if (!value.m_history.empty())
+    {
+        const auto& last = value.m_history.back();
+        object["apply_id"] = last.m_apply_id;
+        object["applied_by"] = last.m_applied_by;
+        object["applied_at"] = last.m_applied_at;
+    }
+    object["history"] = history;
+    return json::serialize(object);
+}
+
+absl::StatusOr<current_configuration> decode_current_configuration(std::string_view text)
+{
+    current_configuration value;
+    if (text.empty())
+        return value;
+    json::error_code error;
+    const json::value source = json::parse(json::string_view(text.data(), text.size()), error);
+    const auto* object = error ? nullptr : source.if_object();
+    if (object == nullptr || !read(object->if_contains("generation"), value.m_generation) ||
+        !read(object->if_contains("files"), value.m_files) ||
+        !read(object->if_contains("changed"), value.m_changed) ||
+        !read(object->if_contains("history"), value.m_history))
+    {
+        return make_failure(
+            failure_kind::internal,
+            "object configuration/current does not hold a configuration record");
+    }
+    return value;
+}
+
+std::string configuration_file_name(std::string_view hash)
+{
+    return "configuration/files/" + std::string(hash);
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/platform_client.cpp
@@ -0,0 +1,236 @@
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/platform_client.hpp>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+// A pending watch answers at the end of its wait; this much longer may the answer take.
+constexpr std::chrono::milliseconds watch_margin{1000};
+
+// A listing of names or instances is longer than one object.
+constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
+
+std::string encode_path(std::string_view name)
+{
+    std::string encoded;
+    for (const char c : name)
+    {
+        const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                           (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_' || c == '~' ||
+                           c == '/';
+        if (plain)
+            encoded += c;
+        else
+            encoded += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+    }
+    return encoded;
+}
+
+absl::Status unavailable(std::string_view reason, outcome decided)
+{
+    return make_failure(
+        failure_kind::platform_unavailable, fmt::format("platform: {}", reason), decided);
+}
+
+/// A failure of the connection, as a failure of the platform. The outcome `not_run` of a request
+/// that was not sent is kept.
+absl::Status unavailable(const absl::Status& transport)
+{
+    return unavailable(message_of(transport), outcome_of(transport));
+}
+
+/// The failure for a status code that the protocol gives no other meaning.
+absl::Status unexpected_status(unsigned status)
+{
+    // 429 and 503 state that the call was not run.
+    const bool refused = status == 429 || status == 503;
+    return unavailable(
+        fmt::format("status {}", status), refused ? outcome::not_run : outcome::unknown);
+}
+
+absl::Status malformed()
+{
+    return unavailable("malformed response", outcome::unknown);
+}
+
+json::value parse_body(const std::string& body)
+{
+    json::error_code error;
+    auto value = json::parse(body, error);
+    return error ? json::value(nullptr) : value;
+}
+
+const json::value* find(const json::value& object, const char* key)
+{
+    const auto* members = object.if_object();
+    return members == nullptr ? nullptr : members->if_contains(key);
+}
+
+bool read_member(const json::value& object, const char* key, std::uint64_t& value)
+{
+    const auto* member = find(object, key);
+    if (member == nullptr || member->is_double())
+        return false;
+    json::error_code error;
+    value = member->to_number<std::uint64_t>(error);
+    return !error;
+}
+
+bool read_member(const json::value& object, const char* key, std::string& value)
+{
+    const auto* member = find(object, key);
+    const auto* text = member == nullptr ? nullptr : member->if_string();
+    if (text != nullptr)
+        value.assign(text->data(), text->size());
+    return text != nullptr;
+}
+
+absl::StatusOr<platform_object> read_object(const absl::StatusOr<http_response>& response)
+{
+    if (!response.ok())
+        return unavailable(response.status());
+    if (response->m_status == 404)
+        return platform_object{};
+    if (response->m_status != 200)
+        return unexpected_status(response->m_status);
+    const auto body = parse_body(response->m_body);
+    platform_object object;
+    if (!read_member(body, "value", object.m_value) ||
+        !read_member(body, "version", object.m_version))
+        return malformed();
+    return object;
+}
+
+absl::StatusOr<instance_list> read_instances(const std::string& text)
+{
+    const auto body = parse_body(text);
+    instance_list list;
+    const auto* instances = find(body, "instances");
+    if (!read_member(body, "version", list.m_version) || instances == nullptr ||
+        !instances->is_array())
+        return malformed();
+    for (const auto& source : instances->get_array())
+    {
+        listed_instance instance;
+        if (!read_member(source, "name", instance.m_name) ||
+            !read_member(source, "role", instance.m_role) ||
+            !read_member(source, "peer_address", instance.m_peer_address))
+            return malformed();
+        read_member(source, "region", instance.m_region);
+        read_member(source, "failure_domain", instance.m_failure_domain);
+        const auto* leaving = find(source, "leaving");
+        instance.m_leaving = leaving != nullptr && leaving->is_bool() && leaving->get_bool();
+        list.m_instances.push_back(std::move(instance));
+    }
+    return list;
+}
+
+} // namespace
+
+platform_client::platform_client(asio::any_io_executor executor, std::string address)
+    : m_http(std::move(executor), std::move(address), 8, max_response_bytes)
+{
+}
+
+asio::awaitable<absl::StatusOr<platform_object>>
+platform_client::get(std::string name, std::chrono::milliseconds deadline)
+{
+    http_request request{"GET", "/objects/" + encode_path(name), {}, {}};
+    co_return read_object(co_await m_http.send(std::move(request), deadline));
+}
+
+asio::awaitable<absl::StatusOr<platform_object>>
+platform_client::watch(std::string name, std::uint64_t version, std::chrono::milliseconds wait)
+{
+    http_request request{
+        "GET",
+        fmt::format("/objects/{}?watch={}&timeout_ms={}", encode_path(name), version, wait.count()),
+        {},
+        {}};
+    co_return read_object(co_await m_http.send(std::move(request), wait + watch_margin));
+}
+
+asio::awaitable<absl::StatusOr<std::uint64_t>> platform_client::put(
+    std::string name, std::string value, std::uint64_t version, std::chrono::milliseconds deadline)
+{
+    http_request request{
+        "PUT",
+        "/objects/" + encode_path(name),
+        {{"If-Match", std::to_string(version)}, {"Content-Type", "application/octet-stream"}},
+        std::move(value)};
+    // A kept-alive connection that breaks makes the client send again, and the second attempt
+    // could then fail with 412 against the write of the first.
+    const auto response =
+        co_await m_http.send(std::move(request), deadline, http_client::reuse::new_connection);
+    if (!response.ok())
+        co_return unavailable(response.status());
+    if (response->m_status == 412)
+    {
+        co_return make_failure(
+            failure_kind::conflict, fmt::format("object {} has another version", name),
+            dispatch_progress::refused);
+    }
+    if (response->m_status == 413)
+    {
+        co_return make_failure(
+            failure_kind::payload_too_large, fmt::format("object {} is too large", name),
+            dispatch_progress::refused);
+    }
+    if (response->m_status != 200 && response->m_status != 201)
+        co_return unexpected_status(response->m_status);
+    std::uint64_t written = 0;
+    if (!read_member(parse_body(response->m_body), "version", written))
+        co_return malformed();
+    co_return written;
+}
+
+asio::awaitable<absl::StatusOr<std::vector<std::string>>>
+platform_client::list(std::string prefix, std::chrono::milliseconds deadline)
+{
+    http_request request{"GET", "/objects?prefix=" + encode_path(prefix), {}, {}};
+    const auto response = co_await m_http.send(std::move(request), deadline);
+    if (!response.ok())
+        co_return unavailable(response.status());
+    if (response->m_status != 200)
+        co_return unexpected_status(response->m_status);
+    const auto body = parse_body(response->m_body);
+    const auto* names = find(body, "names");
+    if (names == nullptr || !names->is_array())
+        co_return malformed();
+    std::vector<std::string> found;
+    for (const auto& name : names->get_array())
+    {
+        if (!name.is_string())
+            co_return malformed();
+        found.emplace_back(name.get_string().data(), name.get_string().size());
+    }
+    co_return found;
+}
+
+asio::awaitable<absl::StatusOr<instance_list>>
+platform_client::instances(std::uint64_t version, std::chrono::milliseconds wait)
+{
+    http_request request{
+        "GET", fmt::format("/instances?watch={}&timeout_ms={}", version, wait.count()), {}, {}};
+    const auto response = co_await m_http.send(std::move(request), wait + watch_margin);
+    if (!response.ok())
+        co_return unavailable(response.status());
+    if (response->m_status != 200)
+        co_return unexpected_status(response->m_status);
+    co_return read_instances(response->m_body);
+}
+
+} // namespace fulmaryard
