--- a/src/current_configuration.cpp
+++ b/src/current_configuration.cpp
@@ -1,3 +1,6 @@
+#include "json_fields_inl.hpp"
+#include "status_fields.hpp"
+
 #include <fulmaryard/current_configuration.hpp>
 #include <fulmaryard/failure.hpp>
 
@@ -8,37 +11,13 @@
 namespace fulmaryard
 {
 
-namespace json = boost::json;
-
 namespace
 {
 
-json::object to_json(const applied_file& entry)
-{
-    return {
-        {"generation", entry.m_generation},
-        {"tenant", entry.m_tenant},
-        {"hash", entry.m_hash},
-        {"apply_id", entry.m_apply_id},
-        {"applied_by", entry.m_applied_by},
-        {"applied_at", entry.m_applied_at}};
-}
-
-bool read(const json::value* source, std::string& value)
-{
-    const auto* text = source == nullptr ? nullptr : source->if_string();
-    if (text != nullptr)
-        value.assign(text->data(), text->size());
-    return text != nullptr;
-}
-
-bool read(const json::value* source, std::uint64_t& value)
+template <typename Value>
+bool read(const json::value* source, Value& value)
 {
-    if (source == nullptr || source->is_double())
-        return false;
-    json::error_code error;
-    value = source->to_number<std::uint64_t>(error);
-    return !error;
+    return source != nullptr && from_json(*source, value);
 }
 
 template <typename Value>
@@ -49,31 +28,8 @@
         return false;
     for (const auto& member : *object)
     {
-        if (!read(&member.value(), values[std::string(member.key().data(), member.key().size())]))
-            return false;
-    }
-    return true;
-}
-
-bool read(const json::value& source, applied_file& entry)
-{
-    const auto* object = source.if_object();
-    return object != nullptr && read(object->if_contains("generation"), entry.m_generation) &&
-           read(object->if_contains("tenant"), entry.m_tenant) &&
-           read(object->if_contains("hash"), entry.m_hash) &&
-           read(object->if_contains("apply_id"), entry.m_apply_id) &&
-           read(object->if_contains("applied_by"), entry.m_applied_by) &&
-           read(object->if_contains("applied_at"), entry.m_applied_at);
-}
-
-bool read(const json::value* source, std::vector<applied_file>& history)
-{
-    const auto* array = source == nullptr ? nullptr : source->if_array();
-    if (array == nullptr)
-        return false;
-    for (const auto& element : *array)
-    {
-        if (!read(element, history.emplace_back()))
+        if (!from_json(
+                member.value(), values[std::string(member.key().data(), member.key().size())]))
             return false;
     }
     return true;
@@ -89,9 +45,6 @@
     json::object changed;
     for (const auto& [tenant, generation] : value.m_changed)
         changed[tenant] = generation;
-    json::array history;
-    for (const auto& entry : value.m_history)
-        history.push_back(to_json(entry));
     json::object object{{"generation", value.m_generation}, {"files", files}, {"changed", changed}};
     if (!value.m_history.empty())
     {
@@ -100,7 +53,7 @@
         object["applied_by"] = last.m_applied_by;
         object["applied_at"] = last.m_applied_at;
     }
-    object["history"] = history;
+    object["history"] = to_json(value.m_history);
     return json::serialize(object);
 }
 
