--- /dev/null
+++ b/src/apply_command.cpp
@@ -0,0 +1,201 @@
+#include "operator_command.hpp"
+
+#include <fulmaryard/command.hpp>
+#include <fulmaryard/configuration_parser.hpp>
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/stream_id.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <thread>
+
+namespace fulmaryard
+{
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace
+{
+
+// Configurations reach every process within seconds; a shorter interval would only add load.
+constexpr milliseconds poll_interval{250};
+constexpr milliseconds call_deadline{5000};
+
+milliseconds time_until(steady_clock::time_point due)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(due - steady_clock::now());
+    return std::max(left, milliseconds(0));
+}
+
+std::uint64_t number_of(const json::object& object, const char* key)
+{
+    const auto* value = object.if_contains(key);
+    json::error_code error;
+    const auto number = value == nullptr ? 0 : value->to_number<std::uint64_t>(error);
+    return error ? 0 : number;
+}
+
+std::string text_of(const json::object& object, const char* key)
+{
+    const auto* value = object.if_contains(key);
+    return value != nullptr && value->is_string() ? value->get_string().c_str() : "";
+}
+
+/// Sends the file until an answer arrives. Repeating is safe: the apply id is the same.
+absl::StatusOr<http_response>
+send_apply(const operator_options& options, const std::string& text, steady_clock::time_point due)
+{
+    std::string target = fmt::format(
+        "/admin/apply?file={}&apply_id={}&timeout_ms={}", encode_query(options.m_arguments[0]),
+        encode_query(options.m_apply_id), options.m_timeout.count());
+    if (options.m_dry_run)
+        target += "&dry_run=1";
+    if (options.m_generation)
+        target += fmt::format("&generation={}", *options.m_generation);
+    for (;;)
+    {
+        auto response = send_to_entry(options, "POST", target, text, time_until(due));
+        if (response.ok() || kind_of(response.status()) == failure_kind::invalid_request ||
+            time_until(due) <= poll_interval)
+            return response;
+        std::this_thread::sleep_for(poll_interval);
+    }
+}
+
+/// How many instances have a generation in force.
+struct progress
+{
+    std::size_t m_in_force{0};
+    std::size_t m_total{0};
+    std::string m_missing; ///< Names of the others.
+};
+
+progress count_in_force(const json::value& status, std::uint64_t generation)
+{
+    progress counted;
+    const auto* object = status.if_object();
+    const auto* instances = object == nullptr ? nullptr : object->if_contains("instances");
+    if (instances == nullptr || !instances->is_array())
+        return counted;
+    for (const auto& instance : instances->get_array())
+    {
+        const auto* members = instance.if_object();
+        if (members == nullptr)
+            continue;
+        ++counted.m_total;
+        if (number_of(*members, "generation") >= generation)
+            ++counted.m_in_force;
+        else
+            counted.m_missing +=
+                fmt::format(" {} ({})", text_of(*members, "name"), text_of(*members, "state"));
+    }
+    return counted;
+}
+
+int wait_in_force(
+    const operator_options& options, std::uint64_t generation, steady_clock::time_point due)
+{
+    progress last;
+    for (;;)
+    {
+        const auto response = send_to_entry(
+            options, "GET", "/admin/status", "",
+            std::min(call_deadline, std::max(time_until(due), milliseconds(1))));
+        if (response.ok() && response->m_status == 200)
+            last = count_in_force(body_of(*response), generation);
+        if (last.m_total > 0 && last.m_in_force == last.m_total)
+        {
+            fmt::print(
+                "generation {} in force on {} of {}\n", generation, last.m_in_force, last.m_total);
+            return exit_success;
+        }
+        if (time_until(due) <= poll_interval)
+            break;
+        std::this_thread::sleep_for(poll_interval);
+    }
+    fmt::print(
+        stderr, "generation {} accepted; in force on {} of {} before the timeout; not on:{}\n",
+        generation, last.m_in_force, last.m_total, last.m_missing);
+    return exit_failed;
+}
+
+int run_apply(operator_options options, bool compare_only)
+{
+    const auto due = steady_clock::now() + options.m_timeout;
+    options.m_dry_run = options.m_dry_run || compare_only;
+    if (options.m_apply_id.empty())
+        options.m_apply_id = to_string(make_stream_id());
+    const auto text = read_text_file(options.m_arguments[0]);
+    if (!text.ok())
+    {
+        fmt::print(stderr, "{}\n", message_of(text.status()));
+        return exit_invalid_file;
+    }
+    // An error in the file is found without an entry.
+    if (const auto file = parse_tenant_configuration(*text, options.m_arguments[0]); !file.ok())
+    {
+        fmt::print(stderr, "{}\n", message_of(file.status()));
+        return exit_invalid_file;
+    }
+    const auto response = send_apply(options, *text, due);
+    if (!response.ok() || response->m_status != 200)
+    {
+        const int code =
+            response.ok() ? report_failure(*response) : report_failure(response.status());
+        if (!options.m_dry_run)
+            fmt::print(stderr, "ask again with --apply-id {}\n", options.m_apply_id);
+        return code;
+    }
+    const auto body = body_of(*response);
+    const auto* object = body.if_object();
+    if (object == nullptr)
+    {
+        fmt::print(stderr, "the entry sent a malformed answer\n");
+        return exit_failed;
+    }
+    if (options.m_dry_run)
+    {
+        fmt::print("changes against generation {}:\n", number_of(*object, "generation"));
+        print_lines(object->contains("difference") ? object->at("difference") : json::value());
+        return exit_success;
+    }
+    const std::uint64_t generation = number_of(*object, "generation");
+    fmt::print("generation {} accepted, apply id {}\n", generation, text_of(*object, "apply_id"));
+    return wait_in_force(options, generation, due);
+}
+
+} // namespace
+
+int run_apply_command(int argc, char** argv)
+{
+    const command_description command{
+        "apply",
+        "FILE",
+        "Puts a declarative file in force and waits until every instance has it.",
+        1,
+        {{'w', "timeout", "SECONDS", "time for the whole command, 30 by default"},
+         {'d', "dry-run", nullptr, "only show what would change"},
+         {'i', "apply-id", "ID", "id of an earlier try; an id takes effect once"},
+         {'g', "generation", "N", "conflict if the tenant's file changed after generation N"}}};
+    operator_options options;
+    if (const auto code = parse_operator_options(command, argc, argv, options))
+        return *code;
+    return run_apply(std::move(options), false);
+}
+
+int run_diff_command(int argc, char** argv)
+{
+    const command_description command{
+        "diff", "FILE", "Shows what applying a declarative file would change.", 1, {}};
+    operator_options options;
+    if (const auto code = parse_operator_options(command, argc, argv, options))
+        return *code;
+    return run_apply(std::move(options), true);
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/show_commands.cpp
@@ -0,0 +1,134 @@
+#include "operator_command.hpp"
+
+#include <fulmaryard/command.hpp>
+
+#include <boost/json/serialize.hpp>
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cstdio>
+
+namespace fulmaryard
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds call_deadline{10'000};
+
+/// Returns a member as text, without quotes.
+std::string show(const json::value& object, const char* key)
+{
+    const auto* members = object.if_object();
+    const auto* value = members == nullptr ? nullptr : members->if_contains(key);
+    if (value == nullptr)
+        return "-";
+    return value->is_string() ? value->get_string().c_str() : json::serialize(*value);
+}
+
+/// Returns an array member, empty when there is none.
+json::array list_of(const json::value& object, const char* key)
+{
+    const auto* members = object.if_object();
+    const auto* value = members == nullptr ? nullptr : members->if_contains(key);
+    return value != nullptr && value->is_array() ? value->get_array() : json::array();
+}
+
+void print_status(const json::value& status)
+{
+    fmt::print(
+        "generation {} in force on {} of {}, platform {}\n\n", show(status, "generation"),
+        show(status, "in_force"), show(status, "instance_count"), show(status, "platform"));
+    fmt::print(
+        "{:<16} {:<6} {:<22} {:<12} {:<8} {:>10} {:>11}\n", "INSTANCE", "ROLE", "ADDRESS", "DOMAIN",
+        "STATE", "GENERATION", "OUTSTANDING");
+    for (const auto& instance : list_of(status, "instances"))
+    {
+        fmt::print(
+            "{:<16} {:<6} {:<22} {:<12} {:<8} {:>10} {:>11}\n", show(instance, "name"),
+            show(instance, "role"), show(instance, "address"), show(instance, "failure_domain"),
+            show(instance, "state"), show(instance, "generation"), show(instance, "outstanding"));
+    }
+    fmt::print(
+        "\n{:<16} {:<24} {:<14} {:>5} {:>8} {:>11}\n", "TENANT", "PIPELINE", "LAYERS", "LIVE",
+        "LEAVING", "OUTSTANDING");
+    for (const auto& pipeline : list_of(status, "pipelines"))
+    {
+        for (const auto& stage : list_of(pipeline, "stages"))
+        {
+            fmt::print(
+                "{:<16} {:<24} {:<14} {:>5} {:>8} {:>11}\n", show(pipeline, "tenant"),
+                show(pipeline, "name"), show(stage, "layers"), show(stage, "live"),
+                show(stage, "leaving"), show(stage, "outstanding"));
+        }
+    }
+}
+
+/// Gets `target` and prints the answer with `print`, or as it is.
+int show_target(
+    const operator_options& options, std::string target, void (*print)(const json::value&))
+{
+    const auto response = send_to_entry(options, "GET", std::move(target), "", call_deadline);
+    if (!response.ok())
+        return report_failure(response.status());
+    if (response->m_status != 200)
+        return report_failure(*response);
+    if (print == nullptr)
+        fmt::print("{}\n", response->m_body);
+    else
+        print(body_of(*response));
+    return exit_success;
+}
+
+} // namespace
+
+int run_get_command(int argc, char** argv)
+{
+    const command_description command{
+        "get",
+        "",
+        "Prints the configuration in force as JSON, without key hashes.",
+        0,
+        {{'t', "tenant", "NAME", "only this tenant's"},
+         {'H', "history", nullptr, "print the last accepted applies instead"}}};
+    operator_options options;
+    if (const auto code = parse_operator_options(command, argc, argv, options))
+        return *code;
+    std::string target = options.m_history ? "/admin/history" : "/admin/configuration";
+    if (!options.m_tenant.empty())
+        target += "?tenant=" + encode_query(options.m_tenant);
+    return show_target(options, std::move(target), nullptr);
+}
+
+int run_status_command(int argc, char** argv)
+{
+    const command_description command{
+        "status",
+        "",
+        "Shows instances, pipelines and the generation in force.",
+        0,
+        {{'j', "json", nullptr, "print JSON"}}};
+    operator_options options;
+    if (const auto code = parse_operator_options(command, argc, argv, options))
+        return *code;
+    return show_target(options, "/admin/status", options.m_json ? nullptr : print_status);
+}
+
+int run_dump_command(int argc, char** argv)
+{
+    const command_description command{
+        "dump",
+        "",
+        "Prints the state of a process, entry or side, as JSON; --entry is its peer address.",
+        0,
+        {}};
+    operator_options options;
+    if (const auto code = parse_operator_options(command, argc, argv, options))
+        return *code;
+    return show_target(options, "/dump", nullptr);
+}
+
+} // namespace fulmaryard
