--- /dev/null
+++ b/tests/unit/process_lifecycle_test.cpp
@@ -0,0 +1,49 @@
+#include <fulmaryard/process_lifecycle.hpp>
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace fulmaryard;
+
+TEST_SUITE_BEGIN("graceful_shutdown");
+
+// Guards against a process that becomes ready again after it was told to leave, and against a
+// second signal that ends the drain early.
+TEST_CASE("a process goes through its phases once")
+{
+    std::vector<lifecycle_phase> seen;
+    process_lifecycle lifecycle([&](lifecycle_phase phase) { seen.push_back(phase); });
+    CHECK(lifecycle.phase() == lifecycle_phase::starting);
+
+    SUBCASE("start, drain, stop")
+    {
+        CHECK(lifecycle.become_ready());
+        CHECK_FALSE(lifecycle.become_ready());
+        CHECK(lifecycle.begin_drain());
+        CHECK_FALSE(lifecycle.begin_drain());
+        CHECK_FALSE(lifecycle.become_ready());
+        CHECK(lifecycle.phase() == lifecycle_phase::draining);
+        CHECK(lifecycle.finish_drain());
+        CHECK_FALSE(lifecycle.begin_drain());
+        CHECK(
+            seen ==
+            std::vector{
+                lifecycle_phase::ready, lifecycle_phase::draining, lifecycle_phase::stopped});
+    }
+    SUBCASE("told to leave while starting")
+    {
+        CHECK(lifecycle.begin_drain());
+        CHECK_FALSE(lifecycle.become_ready());
+        CHECK(lifecycle.finish_drain());
+        CHECK(lifecycle.phase() == lifecycle_phase::stopped);
+    }
+    SUBCASE("nothing ends a process that was not told to leave")
+    {
+        CHECK(lifecycle.become_ready());
+        CHECK_FALSE(lifecycle.finish_drain());
+        CHECK(lifecycle.phase() == lifecycle_phase::ready);
+    }
+}
+
+TEST_SUITE_END();
