--- /dev/null
+++ b/src/lease_holder.cpp
@@ -0,0 +1,153 @@
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/lease_holder.hpp>
+
+#include <utility>
+
+namespace fulmaryard
+{
+
+lease_holder::lease_holder(lease_holder_settings settings) : m_settings(std::move(settings)) {}
+
+bool lease_holder::held(time_point now) const
+{
+    return m_holding && now < m_held_until;
+}
+
+lease_action lease_holder::start_read(time_point now)
+{
+    m_pending = operation::read;
+    m_next_read = now + m_settings.m_poll;
+    return read_lease{};
+}
+
+lease_action lease_holder::start_write(const lease& value, std::uint64_t version, time_point now)
+{
+    m_pending = operation::write;
+    m_write_sent = now;
+    m_last_write = {value, version};
+    return m_last_write;
+}
+
+void lease_holder::accept_write(std::uint64_t version)
+{
+    m_holding = true;
+    m_unsettled = false;
+    m_seen = false;
+    m_version = version;
+    m_epoch = m_last_write.m_value.m_epoch;
+    // Counted from sending: another process may have seen the write as early as that. An earlier
+    // attempt whose result is unknown may be the one that took effect.
+    const auto sent = m_unknown_since.value_or(m_write_sent);
+    m_unknown_since.reset();
+    m_held_until = sent + m_settings.m_duration - m_settings.m_margin;
+}
+
+std::optional<lease_action> lease_holder::on_tick(time_point now)
+{
+    if (m_pending != operation::none)
+        return std::nullopt;
+    if (m_holding && now >= m_held_until)
+    {
+        // Another process may hold the lease by now; what the object shows decides, as for any
+        // other candidate.
+        m_holding = false;
+        m_seen = false;
+        m_next_read = now;
+    }
+    if (m_holding && !m_unsettled)
+    {
+        // Three attempts fit into one duration.
+        if (now - m_write_sent < m_settings.m_duration / 3)
+            return std::nullopt;
+        return start_write(m_last_write.m_value, m_version, now);
+    }
+    if (now < m_next_read)
+        return std::nullopt;
+    return start_read(now);
+}
+
+std::optional<lease_action>
+lease_holder::on_read(const absl::StatusOr<platform_object>& result, time_point now)
+{
+    m_pending = operation::none;
+    if (!result.ok())
+        return std::nullopt;
+    lease current;
+    if (result->m_version != 0)
+    {
+        const auto decoded = decode_lease(result->m_value);
+        // A malformed object is nobody's lease, but its epoch is not known: nothing may be
+        // written over it, or epochs would start again from 1.
+        if (!decoded.ok())
+            return std::nullopt;
+        current = *decoded;
+    }
+    if (m_unsettled)
+    {
+        m_unsettled = false;
+        if (current == m_last_write.m_value && result->m_version > m_last_write.m_version)
+        {
+            accept_write(result->m_version);
+            if (!held(now))
+                m_holding = false;
+            return std::nullopt;
+        }
+        // Not written yet. If it still arrives late it fails on the version or is settled again.
+    }
+    if (m_holding)
+    {
+        if (current.m_holder == m_settings.m_process && current.m_epoch == m_epoch)
+        {
+            m_version = result->m_version;
+            return start_write(current, m_version, now);
+        }
+        m_holding = false;
+    }
+    // A write that names an earlier version can no longer take effect.
+    if (result->m_version != m_last_write.m_version)
+        m_unknown_since.reset();
+    if (!m_seen || m_seen_version != result->m_version)
+    {
+        m_seen = true;
+        m_seen_version = result->m_version;
+        m_seen_since = now;
+    }
+    // A lease of this process that it no longer relies on may be taken over at once: no other
+    // process holds it, and the conditional update decides between candidates.
+    const bool free = current.m_epoch == 0 || current.m_holder == m_settings.m_process ||
+                      now - m_seen_since >= std::chrono::milliseconds(current.m_duration_ms);
+    if (!free)
+        return std::nullopt;
+    const auto duration_ms = static_cast<std::uint32_t>(m_settings.m_duration.count());
+    return start_write(
+        {m_settings.m_process, current.m_epoch + 1, duration_ms}, result->m_version, now);
+}
+
+std::optional<lease_action>
+lease_holder::on_written(const absl::StatusOr<std::uint64_t>& result, time_point now)
+{
+    m_pending = operation::none;
+    if (result.ok())
+    {
+        // This attempt changed the version, so no earlier one did or can any more.
+        m_unknown_since.reset();
+        accept_write(*result);
+        if (!held(now))
+            m_holding = false;
+        return std::nullopt;
+    }
+    if (outcome_of(result.status()) == outcome::not_run &&
+        kind_of(result.status()) != failure_kind::conflict)
+    {
+        m_unsettled = m_holding;
+        m_next_read = m_holding ? now : now + m_settings.m_poll;
+        return std::nullopt;
+    }
+    // A conflict may be this process's own earlier write whose response was lost.
+    m_unsettled = true;
+    if (!m_unknown_since)
+        m_unknown_since = m_write_sent;
+    return start_read(now);
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/tests/unit/lease_holder_test.cpp
@@ -0,0 +1,205 @@
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/lease_holder.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace fulmaryard;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// The platform's object with conditional update, and responses that can be lost.
+struct lease_store
+{
+    enum class fault : std::uint8_t
+    {
+        none,
+        down,
+        response_lost,
+        request_lost ///< Nothing is written, but the writer cannot tell.
+    };
+
+    absl::StatusOr<platform_object> read() const
+    {
+        if (m_fault == fault::down)
+            return make_failure(failure_kind::platform_unavailable, "down");
+        return m_object;
+    }
+
+    absl::StatusOr<std::uint64_t> write(const write_lease& request)
+    {
+        if (m_fault == fault::down)
+            return make_failure(failure_kind::platform_unavailable, "down");
+        const auto lost = make_failure(
+            failure_kind::platform_unavailable, "no response", dispatch_progress::sent);
+        if (m_fault == fault::request_lost)
+            return lost;
+        if (request.m_version != m_object.m_version)
+            return make_failure(failure_kind::conflict, "version", dispatch_progress::refused);
+        m_object = {encode_lease(request.m_value), m_object.m_version + 1};
+        if (m_fault == fault::response_lost)
+            return lost;
+        return m_object.m_version;
+    }
+
+    lease current() const { return *decode_lease(m_object.m_value); }
+
+    platform_object m_object;
+    fault m_fault{fault::none};
+};
+
+struct candidate
+{
+    candidate(lease_store& store, const char* process)
+        : m_store(store),
+          m_holder({process, 10s, 1s, 1s})
+    {
+    }
+
+    void tick(lease_holder::time_point now)
+    {
+        for (auto action = m_holder.on_tick(now); action;)
+        {
+            if (const auto* write = std::get_if<write_lease>(&*action))
+                action = m_holder.on_written(m_store.write(*write), now);
+            else
+                action = m_holder.on_read(m_store.read(), now);
+        }
+    }
+
+    lease_store& m_store;
+    lease_holder m_holder;
+};
+
+} // namespace
+
+TEST_SUITE_BEGIN("unit");
+
+// Guards against two processes that both believe that they hold the lease.
+TEST_CASE("a lease passes from one holder to the next")
+{
+    lease_store store;
+    candidate first(store, "first");
+    candidate second(store, "second");
+    lease_holder::time_point now{1h};
+
+    first.tick(now);
+    REQUIRE(first.m_holder.held(now));
+    CHECK(store.current() == lease{"first", 1, 10'000});
+
+    SUBCASE("the holder renews and the candidate waits")
+    {
+        for (int step = 0; step < 600; ++step)
+        {
+            now += 100ms;
+            first.tick(now);
+            second.tick(now);
+            REQUIRE(first.m_holder.held(now));
+            REQUIRE_FALSE(second.m_holder.held(now));
+        }
+        CHECK(first.m_holder.epoch() == 1);
+    }
+    SUBCASE("the holder is paused past its lease")
+    {
+        bool both = false;
+        for (int step = 0; step < 130; ++step)
+        {
+            now += 100ms;
+            second.tick(now);
+            both = both || (second.m_holder.held(now) && first.m_holder.held(now));
+        }
+        CHECK(second.m_holder.held(now));
+        CHECK(second.m_holder.epoch() == 2);
+        CHECK_FALSE(both);
+        // It knows by its own clock before it has looked at the platform.
+        CHECK_FALSE(first.m_holder.held(now));
+        first.tick(now);
+        CHECK_FALSE(first.m_holder.held(now));
+        CHECK(store.current().m_holder == "second");
+    }
+    SUBCASE("the holder is paused and nobody took over: it needs a new epoch")
+    {
+        now += 60s;
+        CHECK_FALSE(first.m_holder.held(now));
+        first.tick(now);
+        CHECK(first.m_holder.held(now));
+        CHECK(first.m_holder.epoch() == 2);
+    }
+    SUBCASE("the platform is down for longer than the lease")
+    {
+        store.m_fault = lease_store::fault::down;
+        for (int step = 0; step < 89; ++step)
+        {
+            now += 100ms;
+            first.tick(now);
+            REQUIRE(first.m_holder.held(now));
+        }
+        now += 100ms;
+        CHECK_FALSE(first.m_holder.held(now));
+        store.m_fault = lease_store::fault::none;
+        now += 1s;
+        first.tick(now);
+        CHECK(first.m_holder.held(now));
+        CHECK(first.m_holder.epoch() == 2);
+    }
+}
+
+// Guards against a holder that does not know of its own write, and against one that counts a
+// write that had no effect.
+TEST_CASE("the response to a write is lost")
+{
+    lease_store store;
+    candidate only(store, "only");
+    lease_holder::time_point now{1h};
+
+    SUBCASE("the acquisition took effect")
+    {
+        store.m_fault = lease_store::fault::response_lost;
+        only.tick(now);
+        CHECK(only.m_holder.held(now));
+        CHECK(only.m_holder.epoch() == 1);
+    }
+    SUBCASE("the renewal took effect")
+    {
+        only.tick(now);
+        store.m_fault = lease_store::fault::response_lost;
+        now += 4s;
+        only.tick(now);
+        CHECK(only.m_holder.held(now + 8s));
+        CHECK(only.m_holder.epoch() == 1);
+    }
+}
+
+// Guards against counting the lease from the second attempt when the first, older one took effect.
+TEST_CASE("a write of unknown result takes effect after it was read back")
+{
+    lease_holder holder({"only", 10s, 1s, 1s});
+    const lease_holder::time_point start{1h};
+    const auto unknown =
+        make_failure(failure_kind::platform_unavailable, "no response", dispatch_progress::sent);
+    const auto conflict =
+        make_failure(failure_kind::conflict, "version", dispatch_progress::refused);
+
+    REQUIRE(holder.on_tick(start) == lease_action(read_lease{}));
+    const auto first = holder.on_read(platform_object{}, start);
+    REQUIRE(first == lease_action(write_lease{{"only", 1, 10'000}, 0}));
+    REQUIRE(holder.on_written(unknown, start) == lease_action(read_lease{}));
+    const auto second = holder.on_read(platform_object{}, start + 5s);
+    REQUIRE(second == first);
+    REQUIRE(holder.on_written(conflict, start + 5s) == lease_action(read_lease{}));
+    CHECK_FALSE(holder.on_read(platform_object{encode_lease({"only", 1, 10'000}), 1}, start + 5s));
+    CHECK(holder.held(start + 8999ms));
+    CHECK_FALSE(holder.held(start + 9s));
+}
+
+TEST_CASE("a malformed lease object is left alone")
+{
+    lease_holder holder({"only", 10s, 1s, 1s});
+    const lease_holder::time_point now{1h};
+    REQUIRE(holder.on_tick(now) == lease_action(read_lease{}));
+    CHECK_FALSE(holder.on_read(platform_object{"{}", 4}, now));
+    CHECK_FALSE(holder.held(now));
+}
+
+TEST_SUITE_END();
