--- a/src/commands_pending.cpp
+++ b/src/commands_pending.cpp
@@ -5,10 +5,6 @@
 {
     return 1;
 }
-int run_side_command(int, char**)
-{
-    return 1;
-}
 int run_apply_command(int, char**)
 {
     return 1;
