--- a/include/fulmaryard/http_exchange.hpp
+++ b/include/fulmaryard/http_exchange.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,9 @@
 
     virtual const http_request& request() const = 0;
 
+    /// Number of the connection in its server: counts from 1 in the order of acceptance.
+    virtual std::uint64_t connection() const { return 0; }
+
     /// The connection's strand.
     virtual boost::asio::any_io_executor executor() = 0;
 
@@ -42,6 +46,10 @@
     /// Sends the final chunk.
     virtual boost::asio::awaitable<absl::Status> end_events() = 0;
 
+    /// Closes the connection without a response, or in the middle of one. The caller's outcome is
+    /// then unknown, so only stand-ins that inject this fault use it.
+    virtual void abort_connection() {}
+
     /// Returns true once a response has been started.
     virtual bool responded() const = 0;
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -50,9 +50,10 @@
 {
 public:
     connection_exchange(
-        beast::tcp_stream& stream, http_request request, bool keep_alive,
+        beast::tcp_stream& stream, std::uint64_t connection, http_request request, bool keep_alive,
         std::chrono::milliseconds write_deadline)
         : m_stream(stream),
+          m_connection(connection),
           m_request(std::move(request)),
           m_keep_alive(keep_alive),
           m_write_deadline(write_deadline)
@@ -63,6 +64,8 @@
 
     const http_request& request() const override { return m_request; }
 
+    std::uint64_t connection() const override { return m_connection; }
+
     asio::any_io_executor executor() override { return m_stream.get_executor(); }
 
     asio::awaitable<absl::Status> respond(http_response response) override
@@ -110,6 +113,13 @@
         co_return finish_write(error);
     }
 
+    void abort_connection() override
+    {
+        m_responded = true;
+        m_usable = false;
+        m_stream.close();
+    }
+
     bool responded() const override { return m_responded; }
 
     void watch_client(std::function<void()> on_gone) override
@@ -167,6 +177,7 @@
     }
 
     beast::tcp_stream& m_stream;
+    std::uint64_t m_connection;
     http_request m_request;
     bool m_keep_alive;
     bool m_responded{false};
@@ -191,7 +202,7 @@
     }
 
     asio::awaitable<void> accept_loop();
-    asio::awaitable<void> serve(beast::tcp_stream stream);
+    asio::awaitable<void> serve(beast::tcp_stream stream, std::uint64_t connection);
     asio::awaitable<bool> answer_read_error(beast::tcp_stream& stream, beast::error_code error);
 
     asio::io_context& m_io;
@@ -201,6 +212,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     std::atomic<bool> m_stopping{false};
     std::atomic<std::size_t> m_connections{0};
+    std::uint64_t m_accepted{0}; ///< Used by the accept loop only.
     std::atomic<std::size_t> m_exchanges{0};
 };
 
@@ -225,8 +237,9 @@
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         const auto executor = socket.get_executor();
         m_connections.fetch_add(1);
+        const std::uint64_t connection = ++m_accepted;
         asio::co_spawn(
-            executor, serve(beast::tcp_stream(std::move(socket))),
+            executor, serve(beast::tcp_stream(std::move(socket)), connection),
             [self](const std::exception_ptr&) { self->m_connections.fetch_sub(1); });
     }
 }
@@ -276,7 +289,7 @@
     co_return true;
 }
 
-asio::awaitable<void> http_server::state::serve(beast::tcp_stream stream)
+asio::awaitable<void> http_server::state::serve(beast::tcp_stream stream, std::uint64_t connection)
 {
     const auto self = shared_from_this();
     beast::flat_buffer buffer(m_limits.m_max_header_bytes + 64 * 1024);
@@ -312,7 +325,8 @@
             std::string(message.method_string()), std::string(message.target()),
             copy_fields(message.base()), message.body()};
         connection_exchange exchange(
-            stream, std::move(request), message.keep_alive(), m_limits.m_write_deadline);
+            stream, connection, std::move(request), message.keep_alive(),
+            m_limits.m_write_deadline);
         m_exchanges.fetch_add(1);
         co_await m_on_request(exchange);
         m_exchanges.fetch_sub(1);
--- /dev/null
+++ b/tests/standins/engine_main.cpp
@@ -0,0 +1,1 @@
+int main(){return 0;}
--- /dev/null
+++ b/tests/standins/fault_set.hpp
@@ -0,0 +1,64 @@
+#ifndef FULMARYARD_FAULT_SET_HPP
+#define FULMARYARD_FAULT_SET_HPP
+
+#include <boost/json/object.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fulmaryard::standins
+{
+
+/// Faults that a test has asked an HTTP stand-in to inject, limited by time, count and path.
+///
+/// A fault is `{"kind", "ms", "count", "match"}`. `count` limits how many requests it affects and
+/// `match` is a prefix of their path. `ms` limits how long it lasts, but is the length of a "delay"
+/// or "pause". A limit of 0 or an absent one does not apply.
+class fault_set
+{
+public:
+    using clock = std::chrono::steady_clock;
+
+    /// Most faults held at the same time.
+    static constexpr std::size_t m_limit = 256;
+
+    /// Adds a fault; false if its kind is not in `kinds` or there are too many. "silent" affects
+    /// the connections with numbers up to `last_connection`.
+    bool add(
+        const boost::json::object& description, const std::vector<std::string_view>& kinds,
+        clock::time_point now, std::uint64_t last_connection);
+
+    void clear();
+
+    /// Uses up one count of a fault of `kind` that covers `path`; false when there is none.
+    bool take(std::string_view kind, std::string_view path, clock::time_point now);
+
+    /// Like `take` for "delay", whose length is returned; zero when there is none.
+    std::chrono::milliseconds take_delay(std::string_view path, clock::time_point now);
+
+    /// True if the connection never gets an answer any more.
+    bool silent(std::uint64_t connection) const { return connection <= m_silent_up_to; }
+
+private:
+    struct fault
+    {
+        std::string m_kind;
+        std::string m_match;
+        std::chrono::milliseconds m_ms;
+        std::uint64_t m_count; ///< Left; 0 means without limit.
+        clock::time_point m_end;
+    };
+
+    const fault* take_any(std::string_view kind, std::string_view path, clock::time_point now);
+
+    std::vector<fault> m_faults;
+    fault m_taken{};
+    std::uint64_t m_silent_up_to{0};
+};
+
+} // namespace fulmaryard::standins
+
+#endif
--- /dev/null
+++ b/tests/unit/reference_model_test.cpp
@@ -0,0 +1,124 @@
+#include "standins/hash_chain.hpp"
+#include "standins/reference_model.hpp"
+#include "standins/stage_session.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+using namespace fulmaryard;
+using namespace fulmaryard::standins;
+
+namespace
+{
+
+// Runs the stages one after the other for each position, as a pipeline of engines does.
+reference_answer run_in_stages(
+    const std::string& prompt, const std::vector<layer_range>& stages, std::uint32_t max_tokens,
+    std::uint64_t finish_modulus)
+{
+    std::vector<stage_session> sessions;
+    for (const layer_range& stage : stages)
+        sessions.emplace_back(stage);
+    const auto run = [&sessions](std::uint64_t id)
+    {
+        std::uint64_t value = token_value(id);
+        for (stage_session& session : sessions)
+            value = session.run(value);
+        return value;
+    };
+    std::uint64_t value = 0;
+    for (const std::string& word : tokenise(prompt))
+        value = run(word_id(word));
+    reference_answer answer;
+    while (answer.m_ids.size() < max_tokens)
+    {
+        const std::uint64_t id = sampled_id(value);
+        answer.m_ids.push_back(id);
+        answer.m_text += token_text(id);
+        answer.m_finished = ends_answer(value, finish_modulus);
+        if (answer.m_finished)
+            break;
+        value = run(id);
+    }
+    return answer;
+}
+
+// Cuts [0, layers) at the given places.
+std::vector<layer_range> cut_layers(std::uint32_t layers, const std::set<std::uint32_t>& cuts)
+{
+    std::vector<layer_range> stages;
+    std::uint32_t begin = 0;
+    for (const std::uint32_t cut : cuts)
+    {
+        stages.push_back({begin, cut});
+        begin = cut;
+    }
+    stages.push_back({begin, layers});
+    return stages;
+}
+
+rc::Gen<std::string> any_prompt()
+{
+    return rc::gen::container<std::string>(rc::gen::element('a', 'b', 'c', ' ', '\n'));
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("unit");
+
+TEST_CASE("the reference answer does not depend on how layers are cut into stages")
+{
+    // Guards against a reference that agrees with the engines for one particular cut only.
+    rc::detail::TestParams parameters;
+    parameters.seed = 20240501;
+    parameters.maxSuccess = 200;
+    const auto result = rc::detail::checkTestable(
+        []
+        {
+            const auto layers = *rc::gen::inRange<std::uint32_t>(1, 40);
+            const auto max_tokens = *rc::gen::inRange<std::uint32_t>(0, 30);
+            const auto modulus = *rc::gen::element<std::uint64_t>(0, 1, 5, 1000);
+            const auto prompt = *any_prompt();
+            const auto places = *rc::gen::container<std::vector<std::uint32_t>>(
+                rc::gen::inRange<std::uint32_t>(1, 40));
+            std::set<std::uint32_t> cuts(places.begin(), places.end());
+            cuts.erase(cuts.lower_bound(layers), cuts.end());
+            RC_ASSERT(
+                run_in_stages(prompt, cut_layers(layers, cuts), max_tokens, modulus) ==
+                compute_reference(prompt, layers, max_tokens, modulus));
+        },
+        rc::detail::TestMetadata{}, parameters);
+    std::ostringstream message;
+    rc::detail::printResultMessage(result, message);
+    INFO(message.str());
+    CHECK(result.is<rc::detail::SuccessResult>());
+}
+
+TEST_CASE("the reference answer shows which layers ran, in which order and for which prompt")
+{
+    // Guards against a chain too weak to expose a skipped, repeated or misplaced layer run.
+    GIVEN("the answer of a model with six layers")
+    {
+        const std::string prompt = "two rowing clubs";
+        const reference_answer expected = compute_reference(prompt, 6, 8);
+        REQUIRE(expected.m_ids.size() == 8);
+
+        THEN("a skipped, repeated or reordered layer changes it")
+        {
+            CHECK(run_in_stages(prompt, {{0, 3}, {4, 6}}, 8, 0) != expected);
+            CHECK(run_in_stages(prompt, {{0, 3}, {2, 6}}, 8, 0) != expected);
+            CHECK(run_in_stages(prompt, {{3, 6}, {0, 3}}, 8, 0) != expected);
+        }
+        THEN("another prompt changes it")
+        {
+            CHECK(compute_reference("two rowing club", 6, 8) != expected);
+            CHECK(compute_reference("rowing two clubs", 6, 8) != expected);
+        }
+    }
+}
+
+TEST_SUITE_END();
