--- a/tests/standins/engine_connection.cpp
+++ b/tests/standins/engine_connection.cpp
@@ -17,7 +17,8 @@
 namespace beast = boost::beast;
 
 engine_connection::engine_connection(asio::ip::tcp::socket socket, handler on_message)
-    : m_stream(std::move(socket)), m_on_message(std::move(on_message))
+    : m_stream(std::move(socket)),
+      m_on_message(std::move(on_message))
 {
     // A prefill of a long prompt carries tens of bytes per position.
     m_stream.read_message_max(std::size_t{16} * 1024 * 1024);
--- a/tests/standins/engine_main.cpp
+++ b/tests/standins/engine_main.cpp
@@ -73,8 +73,7 @@
               static_cast<std::uint32_t>(options.m_first_layer),
               static_cast<std::uint32_t>(options.m_end_layer)},
           m_cache(
-              options.m_cache_blocks,
-              [this](const char* operation, std::uint64_t block)
+              options.m_cache_blocks, [this](const char* operation, std::uint64_t block)
               { record_cache_event(operation, block); }),
           m_step_timer(io),
           m_load_timer(io)
@@ -195,8 +194,7 @@
 }
 
 // Fills in the inputs; returns the reason when they are not valid.
-std::string
-engine_standin::read_inputs(const json::object& message, engine_run_request& run) const
+std::string engine_standin::read_inputs(const json::object& message, engine_run_request& run) const
 {
     const json::value* tokens = message.if_contains("tokens");
     const json::value* inputs = message.if_contains("inputs");
@@ -207,9 +205,8 @@
         for (const json::value& input : inputs->get_array())
         {
             const auto value =
-                input.is_string()
-                    ? from_hex({input.get_string().data(), input.get_string().size()})
-                    : std::nullopt;
+                input.is_string() ? from_hex({input.get_string().data(), input.get_string().size()})
+                                  : std::nullopt;
             if (!value)
                 return "malformed input";
             run.m_values.push_back(*value);
@@ -316,9 +313,9 @@
     const auto now = steady_clock::now();
     const double factor = now < m_slow_end ? m_slow_factor : 1;
     const std::chrono::duration<double, std::micro> length{
-        factor * static_cast<double>(
-                     m_options.m_step_time_us +
-                     prefill_positions * m_options.m_prefill_position_us)};
+        factor *
+        static_cast<double>(
+            m_options.m_step_time_us + prefill_positions * m_options.m_prefill_position_us)};
     const auto step = std::chrono::duration_cast<steady_clock::duration>(length);
     // Steps that follow each other are paced by the planned end of the last one, so that the rate
     // does not depend on how late timers fire. After an idle time or a pause the step starts now.
@@ -406,11 +403,10 @@
     const std::string kind = text_of(message, "kind");
     const json::value* arguments = message.if_contains("args");
     const bool fenced = !m_options.m_ignore_fencing && epoch < m_highest_epoch;
-    const bool accepted =
-        !fenced && apply_order(
-                       kind, arguments != nullptr && arguments->is_object()
-                                 ? arguments->get_object()
-                                 : json::object());
+    const bool accepted = !fenced && apply_order(
+                                         kind, arguments != nullptr && arguments->is_object()
+                                                   ? arguments->get_object()
+                                                   : json::object());
     if (accepted)
         m_highest_epoch = std::max(m_highest_epoch, epoch);
     if (m_orders.size() < order_limit)
@@ -481,17 +477,16 @@
     {
         for (const json::value& each : values->get_array())
         {
-            const auto value =
-                each.is_string() ? from_hex({each.get_string().data(), each.get_string().size()})
-                                 : std::nullopt;
+            const auto value = each.is_string()
+                                   ? from_hex({each.get_string().data(), each.get_string().size()})
+                                   : std::nullopt;
             if (value)
                 kv.push_back(*value);
         }
     }
     const bool accepted = next > 0 && next <= m_options.m_kv_positions &&
                           kv.size() == m_layers.m_end - m_layers.m_begin &&
-                          !m_sessions.contains(key) &&
-                          m_kv_used + next <= m_options.m_kv_positions;
+                          !m_sessions.contains(key) && m_kv_used + next <= m_options.m_kv_positions;
     if (accepted)
     {
         m_sessions.emplace(
@@ -603,9 +598,10 @@
     {
         // Without a length it lasts until the faults are cleared.
         m_slow_factor = std::clamp(real_of(*description, "factor", 1), 0.01, 1000.0);
-        m_slow_end = ms == 0 ? steady_clock::time_point::max()
-                             : steady_clock::now() + std::chrono::milliseconds(
-                                                         std::min<std::uint64_t>(ms, 86'400'000));
+        m_slow_end = ms == 0
+                         ? steady_clock::time_point::max()
+                         : steady_clock::now() +
+                               std::chrono::milliseconds(std::min<std::uint64_t>(ms, 86'400'000));
     }
     else if (kind == "silent")
     {
--- a/tests/standins/fault_set.cpp
+++ b/tests/standins/fault_set.cpp
@@ -42,7 +42,8 @@
 {
     std::erase_if(m_faults, [now](const fault& each) { return each.m_end <= now; });
     const auto found = std::find_if(
-        m_faults.begin(), m_faults.end(), [kind, path](const fault& each)
+        m_faults.begin(), m_faults.end(),
+        [kind, path](const fault& each)
         { return each.m_kind == kind && path.substr(0, each.m_match.size()) == each.m_match; });
     if (found == m_faults.end())
         return nullptr;
--- a/tests/standins/fault_set.hpp
+++ b/tests/standins/fault_set.hpp
@@ -27,8 +27,8 @@
 
     /// Adds a fault; false if its kind is not in `kinds` or there are too many. "silent" affects
     /// the connections with numbers up to `last_connection`.
-    bool add(
-        const boost::json::object& description, const std::vector<std::string_view>& kinds,
+    bool
+    add(const boost::json::object& description, const std::vector<std::string_view>& kinds,
         clock::time_point now, std::uint64_t last_connection);
 
     void clear();
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -160,7 +160,8 @@
         std::ignore = co_await exchange.respond(error_response(503, "unavailable"));
         co_return;
     }
-    const bool lose_answer = is_write(exchange.request()) && m_faults.take("lose_answer", path, now);
+    const bool lose_answer =
+        is_write(exchange.request()) && m_faults.take("lose_answer", path, now);
     if (const auto delay = m_faults.take_delay(path, now); delay.count() > 0)
         co_await sleep_for(delay);
     if (m_faults.silent(exchange.connection()))
@@ -400,9 +401,8 @@
         return;
     }
     const auto timer = std::make_shared<asio::steady_timer>(m_io, m_last_publication);
-    timer->async_wait(
-        [timer, publish, list = std::move(list)](const boost::system::error_code&) mutable
-        { publish(std::move(list)); });
+    timer->async_wait([timer, publish, list = std::move(list)](
+                          const boost::system::error_code&) mutable { publish(std::move(list)); });
 }
 
 http_response platform_standin::control(const http_request& request, std::string_view path)
@@ -467,6 +467,7 @@
     asio::io_context io(1);
     platform_standin platform(io, options);
     serve(
-        io, options.m_listen, [&platform](http_exchange& exchange) -> asio::awaitable<void>
+        io, options.m_listen,
+        [&platform](http_exchange& exchange) -> asio::awaitable<void>
         { return platform.answer(exchange); });
 }
--- a/tests/standins/prefix_cache.cpp
+++ b/tests/standins/prefix_cache.cpp
@@ -8,7 +8,8 @@
 {
 
 prefix_cache::prefix_cache(std::size_t limit, listener on_change)
-    : m_limit(limit), m_on_change(std::move(on_change))
+    : m_limit(limit),
+      m_on_change(std::move(on_change))
 {
 }
 
--- a/tests/standins/rate_limiter.hpp
+++ b/tests/standins/rate_limiter.hpp
@@ -16,7 +16,8 @@
 
     /// A rate of 0 does not limit.
     explicit rate_limiter(std::uint64_t per_second)
-        : m_rate(static_cast<double>(per_second)), m_tokens(m_rate)
+        : m_rate(static_cast<double>(per_second)),
+          m_tokens(m_rate)
     {
     }
 
--- a/tests/standins/reference_model.cpp
+++ b/tests/standins/reference_model.cpp
@@ -17,8 +17,8 @@
     const std::size_t prompt_positions = inputs.size();
     std::vector<std::uint64_t> kv(layers, 0);
     reference_answer answer;
-    for (std::uint32_t position = 0;
-         answer.m_ids.size() < max_tokens && !answer.m_finished; ++position)
+    for (std::uint32_t position = 0; answer.m_ids.size() < max_tokens && !answer.m_finished;
+         ++position)
     {
         std::uint64_t value = token_value(inputs[position]);
         for (std::uint32_t layer = 0; layer < layers; ++layer)
--- a/tests/standins/stage_session.cpp
+++ b/tests/standins/stage_session.cpp
@@ -8,13 +8,16 @@
 {
 
 stage_session::stage_session(layer_range layers)
-    : m_layers(layers), m_kv(layers.m_end - layers.m_begin, 0)
+    : m_layers(layers),
+      m_kv(layers.m_end - layers.m_begin, 0)
 {
 }
 
 stage_session::stage_session(
     layer_range layers, std::uint32_t next_position, std::vector<std::uint64_t> kv)
-    : m_layers(layers), m_next_position(next_position), m_kv(std::move(kv))
+    : m_layers(layers),
+      m_next_position(next_position),
+      m_kv(std::move(kv))
 {
 }
 
--- a/tests/standins/worker_main.cpp
+++ b/tests/standins/worker_main.cpp
@@ -76,8 +76,7 @@
     if (m_faults.take("fail", path, now))
     {
         record(request, path, false);
-        std::ignore =
-            co_await exchange.respond(error_response(500, "failed before effect"));
+        std::ignore = co_await exchange.respond(error_response(500, "failed before effect"));
         co_return;
     }
     http_response response = run(request, path);
@@ -148,8 +147,7 @@
     if (!body || kept.size() >= journal_limit)
     {
         record(request, path, false);
-        return body ? error_response(503, "full")
-                    : error_response(400, "not a JSON object");
+        return body ? error_response(503, "full") : error_response(400, "not a JSON object");
     }
     // A repeated key is not recognised: at-most-once delivery is the router's task, and the test
     // counts the effects here.
@@ -196,6 +194,7 @@
     asio::io_context io(1);
     worker_standin worker;
     serve(
-        io, listen, [&worker](http_exchange& exchange) -> asio::awaitable<void>
+        io, listen,
+        [&worker](http_exchange& exchange) -> asio::awaitable<void>
         { return worker.answer(exchange); });
 }
