--- a/tests/standins/engine_main.cpp
+++ b/tests/standins/engine_main.cpp
@@ -125,6 +125,7 @@
     std::vector<engine_run_request> m_waiting; ///< In order of arrival.
     std::vector<engine_run_request> m_running;
     bool m_stepping{false};
+    std::uint64_t m_steps{0}; ///< Ended since the start.
     steady_clock::time_point m_step_end;
     prefix_cache m_cache;
     std::deque<cache_event> m_events;
@@ -340,6 +341,7 @@
         fail(run.m_connection, run.m_run, reason.empty() ? "injected fault" : reason);
     }
     m_running.clear();
+    ++m_steps;
     m_stepping = false;
     start_step(true);
 }
@@ -554,6 +556,7 @@
         {"kv_positions", m_options.m_kv_positions},
         {"kv_free", m_options.m_kv_positions - m_kv_used},
         {"sessions", m_sessions.size()},
+        {"steps", m_steps},
         {"load", m_reported_load}};
 }
 
