--- /dev/null
+++ b/include/fulmaryard/stage_plan.hpp
@@ -0,0 +1,21 @@
+#ifndef FULMARYARD_STAGE_PLAN_HPP
+#define FULMARYARD_STAGE_PLAN_HPP
+
+#include <fulmaryard/stage_assignment.hpp>
+
+#include <chrono>
+#include <vector>
+
+namespace fulmaryard
+{
+
+/// The stages chosen for a stream.
+struct stage_plan
+{
+    std::vector<stage_assignment> m_stages;
+    std::chrono::nanoseconds m_expected_wait{0}; ///< Sum over the stages, links included.
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/src/admission_gate.hpp
@@ -0,0 +1,60 @@
+#ifndef FULMARYARD_ADMISSION_GATE_HPP
+#define FULMARYARD_ADMISSION_GATE_HPP
+
+#include "one_shot_inl.hpp"
+
+#include <fulmaryard/admission.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace fulmaryard
+{
+
+/// Lets coroutines wait for admission. Thread-safe.
+class admission_gate : public std::enable_shared_from_this<admission_gate>
+{
+public:
+    explicit admission_gate(admission_settings settings);
+
+    /// The decision, and when it admits, what releases the capacity on its last destruction.
+    struct entry
+    {
+        admission_decision m_decision;
+        std::shared_ptr<void> m_lease;
+    };
+
+    /// Fills in the ticket of `asked`. Call it on `executor`, a strand.
+    boost::asio::awaitable<entry> enter(
+        boost::asio::any_io_executor executor, const client_account& account,
+        admission_request asked);
+
+    /// Applies the present capacity and expires what waited too long. `batch_limits` is the sum
+    /// over all live endpoints, of which this entry takes its part.
+    void on_tick(std::size_t batch_limits);
+
+    std::map<std::string, double> use();
+    void on_peer_use(const std::string& entry, std::map<std::string, double> use);
+
+    std::size_t queued() const;
+    std::size_t running() const;
+
+private:
+    using slot = std::shared_ptr<one_shot<admission_decision>>;
+
+    void deliver(const admission::decisions& decided);
+    void release(std::uint64_t ticket);
+
+    mutable std::mutex m_mutex;
+    admission m_admission;
+    std::uint64_t m_last_ticket{0};
+    absl::flat_hash_map<std::uint64_t, slot> m_slots;
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/src/call_table.cpp
@@ -0,0 +1,67 @@
+#include <fulmaryard/call_table.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace fulmaryard
+{
+
+std::uint64_t call_table::add(std::string peer_address, completion done)
+{
+    const std::lock_guard lock(m_mutex);
+    m_waiting[++m_last] = {std::move(peer_address), std::move(done)};
+    return m_last;
+}
+
+bool call_table::complete(const std::string& peer_address, service_result result)
+{
+    completion done;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_waiting.find(result.m_call);
+        if (found == m_waiting.end() || found->second.m_peer_address != peer_address)
+            return false;
+        done = std::move(found->second.m_done);
+        m_waiting.erase(found);
+    }
+    done(std::move(result));
+    return true;
+}
+
+void call_table::fail_peer(const std::string& peer_address)
+{
+    std::vector<std::pair<std::uint64_t, completion>> failed;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto it = m_waiting.begin(); it != m_waiting.end();)
+        {
+            const auto current = it++;
+            if (current->second.m_peer_address != peer_address)
+                continue;
+            failed.emplace_back(current->first, std::move(current->second.m_done));
+            m_waiting.erase(current);
+        }
+    }
+    for (auto& [call, done] : failed)
+    {
+        service_result result;
+        result.m_call = call;
+        result.m_failure = failure_kind::endpoint_lost;
+        result.m_outcome = outcome::unknown;
+        done(std::move(result));
+    }
+}
+
+void call_table::remove(std::uint64_t call)
+{
+    const std::lock_guard lock(m_mutex);
+    m_waiting.erase(call);
+}
+
+std::size_t call_table::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_waiting.size();
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/model_stream.hpp
@@ -0,0 +1,112 @@
+#ifndef FULMARYARD_MODEL_STREAM_HPP
+#define FULMARYARD_MODEL_STREAM_HPP
+
+#include <fulmaryard/peer_message.hpp>
+#include <fulmaryard/pipeline_definition.hpp>
+#include <fulmaryard/stage_plan.hpp>
+#include <fulmaryard/stream_owner.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fulmaryard
+{
+
+struct endpoint_counters;
+struct entry_services;
+
+/// Runs one `stream_owner` on a strand: carries out its actions and holds the tokens until the
+/// caller's coroutine takes them. The `on_` functions may be called on any thread, all others on
+/// the strand.
+class model_stream : public std::enable_shared_from_this<model_stream>
+{
+public:
+    model_stream(
+        std::shared_ptr<entry_services> services, boost::asio::any_io_executor strand,
+        stream_request request, pipeline_definition pipeline);
+    ~model_stream();
+
+    model_stream(const model_stream&) = delete;
+    model_stream& operator=(const model_stream&) = delete;
+
+    /// `lease` is the admitted capacity, held until the stream ends.
+    void start(std::vector<stage_assignment> plan, std::shared_ptr<void> lease);
+    void start_attached(
+        const stream_attached& attached, std::uint32_t next_index, std::shared_ptr<void> lease);
+
+    void on_message(const hello& from, const peer_message& message);
+    void on_peer_connected(const hello& peer);
+    void on_peer_down(const std::string& address);
+    /// Another owner in this process has taken the stream over.
+    void on_replaced();
+
+    /// Tokens that the caller has not got yet, and how the stream stands behind them.
+    struct progress
+    {
+        std::vector<token> m_tokens;
+        std::uint32_t m_next_index{0}; ///< Behind the last of `m_tokens`.
+        bool m_ended{false};
+        absl::Status m_status; ///< Of an ended stream.
+    };
+
+    /// Waits until there are tokens or the stream has ended.
+    boost::asio::awaitable<progress> next();
+
+    /// Cancels the stream, now or, for a resumable one, after 10 s.
+    void caller_gone(bool resumable);
+    bool gone() const { return m_gone; }
+
+    /// Event id for a caller that has received `next_index` tokens.
+    std::string locator(std::uint32_t next_index) const;
+
+    std::uint32_t replacements() const { return m_owner->replacements(); }
+    /// Time to the first token; none yet without one.
+    std::optional<std::chrono::nanoseconds> first_token() const { return m_first_token; }
+
+private:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    void run(stream_owner::actions actions);
+    void begin(std::shared_ptr<void> lease);
+    void deliver(const deliver_tokens& delivered);
+    stream_owner::actions replace(const choose_replacement& wanted);
+    void update_counters();
+    void end(absl::Status status);
+    boost::asio::awaitable<void> tick();
+    void post(std::function<void(model_stream&)> function);
+    stream_owner_settings owner_settings() const;
+
+    std::shared_ptr<entry_services> m_services;
+    boost::asio::any_io_executor m_strand;
+    stream_request m_request;
+    pipeline_definition m_pipeline;
+    std::unique_ptr<stream_owner> m_owner;
+    std::shared_ptr<void> m_lease;
+    boost::asio::steady_timer m_wake;
+    boost::asio::steady_timer m_ticker;
+    std::vector<token> m_pending;
+    std::uint32_t m_next_index{0};
+    bool m_ended{false};
+    bool m_gone{false};
+    bool m_refused{false}; ///< A stage has just refused, so a replacement is a retry.
+    absl::Status m_status;
+    time_point m_started;
+    time_point m_last_token;
+    std::optional<time_point> m_recovering_since;
+    std::optional<std::chrono::nanoseconds> m_first_token;
+    std::vector<std::shared_ptr<endpoint_counters>> m_counters;
+    std::vector<stage_assignment> m_counted_plan; ///< What `m_counters` belongs to.
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/src/planning_strategy.cpp
@@ -0,0 +1,87 @@
+#include <fulmaryard/endpoint.hpp>
+#include <fulmaryard/planning_strategy.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+class least_wait_strategy final : public planning_strategy
+{
+public:
+    std::size_t
+    choose(const std::vector<stage_candidate>& candidates, std::mt19937_64& random) override
+    {
+        const auto cheapest = std::min_element(
+            candidates.begin(), candidates.end(),
+            [](const auto& a, const auto& b) { return a.m_cost < b.m_cost; });
+        const auto best = static_cast<std::size_t>(cheapest - candidates.begin());
+        const std::array<std::size_t, 3> compared{
+            best, random() % candidates.size(), random() % candidates.size()};
+        // Reported load lags by up to 100 ms, in which it moves by a step or more, so a difference
+        // of less than one step does not tell two endpoints apart. The entry's own work does.
+        const auto bound = cheapest->m_cost +
+                           std::chrono::microseconds(cheapest->m_endpoint->m_report.m_step_time_us);
+        std::size_t chosen = best;
+        std::uint64_t chosen_draw = random();
+        for (const std::size_t index : compared)
+        {
+            const std::uint64_t draw = random();
+            const auto& candidate = candidates[index];
+            if (candidate.m_cost <= bound &&
+                std::tie(candidate.m_own_cost, draw) <
+                    std::tie(candidates[chosen].m_own_cost, chosen_draw))
+            {
+                chosen = index;
+                chosen_draw = draw;
+            }
+        }
+        return chosen;
+    }
+};
+
+class round_robin_strategy final : public planning_strategy
+{
+public:
+    std::size_t choose(const std::vector<stage_candidate>& candidates, std::mt19937_64&) override
+    {
+        // One turn for each stage: a common one would advance by the number of stages per plan and
+        // always choose the same endpoints where that is a multiple of their number.
+        const auto& report = candidates.front().m_endpoint->m_report;
+        return m_next[{report.m_model, report.m_layers}]++ % candidates.size();
+    }
+
+private:
+    std::map<std::pair<std::string, layer_range>, std::size_t> m_next;
+};
+
+} // namespace
+
+std::unique_ptr<planning_strategy> make_least_wait_strategy()
+{
+    return std::make_unique<least_wait_strategy>();
+}
+
+std::unique_ptr<planning_strategy> make_round_robin_strategy()
+{
+    return std::make_unique<round_robin_strategy>();
+}
+
+std::unique_ptr<planning_strategy> make_planning_strategy(std::string_view name)
+{
+    if (name == "least_wait")
+        return make_least_wait_strategy();
+    if (name == "round_robin")
+        return make_round_robin_strategy();
+    return nullptr;
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/retry_budget.cpp
@@ -0,0 +1,47 @@
+#include <fulmaryard/retry_budget.hpp>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+constexpr std::uint64_t retry_floor = 10;
+constexpr std::uint64_t requests_per_retry = 10;
+
+} // namespace
+
+retry_budget::second& retry_budget::slot(time_point now)
+{
+    const std::int64_t time =
+        std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+    auto& current = m_seconds[static_cast<std::size_t>(time) % window_seconds];
+    if (current.m_time != time)
+        current = {time, 0, 0};
+    return current;
+}
+
+void retry_budget::on_request(time_point now)
+{
+    ++slot(now).m_requests;
+}
+
+bool retry_budget::try_retry(time_point now)
+{
+    auto& current = slot(now);
+    std::uint64_t requests = 0;
+    std::uint64_t retries = 0;
+    for (const auto& past : m_seconds)
+    {
+        if (past.m_time + static_cast<std::int64_t>(window_seconds) <= current.m_time)
+            continue;
+        requests += past.m_requests;
+        retries += past.m_retries;
+    }
+    if (retries >= requests / requests_per_retry + retry_floor)
+        return false;
+    ++current.m_retries;
+    return true;
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/stream_registry.cpp
@@ -0,0 +1,126 @@
+#include "stream_registry.hpp"
+
+#include "model_stream.hpp"
+
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+/// The stream that a message is about; none for the others.
+std::optional<stream_id> stream_of(const peer_message& message)
+{
+    return std::visit(
+        [](const auto& alternative) -> std::optional<stream_id>
+        {
+            if constexpr (requires { alternative.m_stream; })
+                return alternative.m_stream;
+            else
+                return std::nullopt;
+        },
+        message);
+}
+
+} // namespace
+
+std::shared_ptr<model_stream>
+stream_registry::add(const stream_id& id, const std::shared_ptr<model_stream>& stream)
+{
+    const std::lock_guard lock(m_mutex);
+    auto& slot = m_streams[id];
+    auto replaced = slot.lock();
+    slot = stream;
+    return replaced;
+}
+
+void stream_registry::remove(const stream_id& id, const model_stream* stream)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_streams.find(id);
+    if (found == m_streams.end())
+        return;
+    const auto present = found->second.lock();
+    if (!present || present.get() == stream)
+        m_streams.erase(found);
+}
+
+bool stream_registry::expect_attach(
+    const stream_id& id, const std::string& address, attach_slot slot)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_questions.try_emplace(id, attach_question{address, std::move(slot)}).second;
+}
+
+void stream_registry::forget_attach(const stream_id& id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_questions.erase(id);
+}
+
+bool stream_registry::answer_attach(
+    const hello& from, const stream_id& id, const peer_message& message)
+{
+    const auto* const attached = std::get_if<stream_attached>(&message);
+    if (!attached && !std::holds_alternative<stream_refused>(message))
+        return false;
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_questions.find(id);
+    if (found == m_questions.end() || found->second.m_address != from.m_address)
+        return attached != nullptr;
+    found->second.m_slot->set(attached ? attach_answer(*attached) : std::nullopt);
+    return true;
+}
+
+void stream_registry::on_message(const hello& from, const peer_message& message)
+{
+    const auto id = stream_of(message);
+    if (!id || answer_attach(from, *id, message))
+        return;
+    std::shared_ptr<model_stream> stream;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_streams.find(*id);
+        if (found != m_streams.end())
+            stream = found->second.lock();
+    }
+    if (stream)
+        stream->on_message(from, message);
+}
+
+std::vector<std::shared_ptr<model_stream>> stream_registry::all() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::shared_ptr<model_stream>> streams;
+    streams.reserve(m_streams.size());
+    for (const auto& [id, weak] : m_streams)
+    {
+        if (auto stream = weak.lock())
+            streams.push_back(std::move(stream));
+    }
+    return streams;
+}
+
+void stream_registry::on_peer_connected(const hello& peer)
+{
+    for (const auto& stream : all())
+        stream->on_peer_connected(peer);
+}
+
+void stream_registry::on_peer_down(const std::string& address)
+{
+    for (const auto& stream : all())
+        stream->on_peer_down(address);
+}
+
+std::size_t stream_registry::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_streams.size();
+}
+
+} // namespace fulmaryard
