--- /dev/null
+++ b/src/account_use_exchange.cpp
@@ -0,0 +1,145 @@
+#include "account_use_exchange.hpp"
+
+#include "admission_gate.hpp"
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/http_client.hpp>
+#include <fulmaryard/json_rpc.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <cmath>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::chrono::seconds report_interval{1};
+constexpr std::chrono::milliseconds report_deadline{500};
+constexpr int invalid_parameters = -32602; ///< Of JSON-RPC 2.0.
+
+asio::awaitable<void> send_report(std::shared_ptr<http_client> peer, std::string body)
+{
+    http_request request;
+    request.m_method = "POST";
+    request.m_target = "/rpc";
+    request.m_fields = {{"Content-Type", "application/json"}};
+    request.m_body = std::move(body);
+    // A lost report is made good by the next one.
+    co_await peer->send(std::move(request), report_deadline);
+}
+
+} // namespace
+
+std::string format_account_use(const std::string& entry, const std::map<std::string, double>& use)
+{
+    json::object accounts;
+    for (const auto& [account, rate] : use)
+        accounts[account] = rate;
+    return json::serialize(json::object{{"entry", entry}, {"use", std::move(accounts)}});
+}
+
+bool parse_account_use(
+    std::string_view text, std::string& entry, std::map<std::string, double>& use)
+{
+    json::error_code error;
+    const auto value = json::parse(json::string_view(text.data(), text.size()), error);
+    const auto* const fields = error ? nullptr : value.if_object();
+    const auto* const name = fields ? fields->if_contains("entry") : nullptr;
+    const auto* const accounts = fields ? fields->if_contains("use") : nullptr;
+    if (!name || !name->is_string() || !accounts || !accounts->is_object())
+        return false;
+    for (const auto& account : accounts->get_object())
+    {
+        const double rate =
+            account.value().is_number() ? account.value().to_number<double>() : -1.0;
+        if (!std::isfinite(rate) || rate < 0)
+            return false;
+        use[std::string(account.key().data(), account.key().size())] = rate;
+    }
+    entry.assign(name->get_string().data(), name->get_string().size());
+    return true;
+}
+
+account_use_exchange::account_use_exchange(
+    asio::any_io_executor executor, std::shared_ptr<admission_gate> gate, std::string self,
+    std::vector<std::string> fixed)
+    : m_executor(std::move(executor)),
+      m_gate(std::move(gate)),
+      m_self(std::move(self)),
+      m_fixed(std::move(fixed))
+{
+    set_entries({});
+}
+
+void account_use_exchange::serve(json_rpc_server& server)
+{
+    server.add(
+        "account.use",
+        [gate = m_gate](const std::string& parameters) -> json_rpc_result
+        {
+            std::string entry;
+            std::map<std::string, double> use;
+            if (!parse_account_use(parameters, entry, use))
+                return {"", "malformed account use", invalid_parameters};
+            gate->on_peer_use(entry, std::move(use));
+            return {"{}", "", 0};
+        });
+}
+
+void account_use_exchange::set_entries(const std::vector<std::string>& addresses)
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<std::string, std::shared_ptr<http_client>> present;
+    const auto add = [&](const std::string& address)
+    {
+        if (address == m_self)
+            return;
+        const auto known = m_peers.find(address);
+        present[address] = known != m_peers.end()
+                               ? known->second
+                               : std::make_shared<http_client>(m_executor, address, 1);
+    };
+    for (const auto& address : m_fixed)
+        add(address);
+    for (const auto& address : addresses)
+        add(address);
+    m_peers = std::move(present);
+}
+
+std::vector<std::shared_ptr<http_client>> account_use_exchange::peers()
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::shared_ptr<http_client>> clients;
+    for (const auto& [address, client] : m_peers)
+        clients.push_back(client);
+    return clients;
+}
+
+asio::awaitable<void> account_use_exchange::run()
+{
+    const auto self = shared_from_this();
+    asio::steady_timer timer(m_executor);
+    while (true)
+    {
+        timer.expires_after(report_interval);
+        const auto [error] = co_await timer.async_wait(use_tuple);
+        if (error)
+            co_return;
+        const std::string body =
+            make_json_rpc_request("account.use", format_account_use(m_self, m_gate->use()));
+        for (auto& peer : peers())
+            asio::co_spawn(m_executor, send_report(std::move(peer), body), asio::detached);
+    }
+}
+
+} // namespace fulmaryard
--- a/src/admission_gate.cpp
+++ b/src/admission_gate.cpp
@@ -67,8 +67,8 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto now = std::chrono::steady_clock::now();
-    const std::size_t entries = m_admission.entries(now);
-    deliver(m_admission.set_capacity((batch_limits + entries - 1) / entries, now));
+    const std::size_t count = m_admission.entries(now);
+    deliver(m_admission.set_capacity((batch_limits + count - 1) / count, now));
     deliver(m_admission.on_tick(now));
 }
 
@@ -78,10 +78,10 @@
     return m_admission.use(std::chrono::steady_clock::now());
 }
 
-void admission_gate::on_peer_use(const std::string& entry, std::map<std::string, double> use)
+void admission_gate::on_peer_use(const std::string& address, std::map<std::string, double> use)
 {
     const std::lock_guard lock(m_mutex);
-    m_admission.on_peer_use(entry, std::move(use), std::chrono::steady_clock::now());
+    m_admission.on_peer_use(address, std::move(use), std::chrono::steady_clock::now());
 }
 
 std::size_t admission_gate::queued() const
--- a/src/admission_gate.hpp
+++ b/src/admission_gate.hpp
@@ -38,7 +38,7 @@
     void on_tick(std::size_t batch_limits);
 
     std::map<std::string, double> use();
-    void on_peer_use(const std::string& entry, std::map<std::string, double> use);
+    void on_peer_use(const std::string& address, std::map<std::string, double> use);
 
     std::size_t queued() const;
     std::size_t running() const;
--- a/src/commands_pending.cpp
+++ b/src/commands_pending.cpp
@@ -1,10 +1,6 @@
 #include <fulmaryard/command.hpp>
 namespace fulmaryard
 {
-int run_entry_command(int, char**)
-{
-    return 1;
-}
 int run_side_command(int, char**)
 {
     return 1;
--- /dev/null
+++ b/src/model_dispatch.cpp
@@ -0,0 +1,337 @@
+#include "completion_response.hpp"
+#include "entry_services.hpp"
+#include "model_stream.hpp"
+#include "request_dispatcher.hpp"
+#include "request_record.hpp"
+
+#include <fulmaryard/error_response.hpp>
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/http_exchange.hpp>
+#include <fulmaryard/log.hpp>
+#include <fulmaryard/model_definition.hpp>
+#include <fulmaryard/stream_locator.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+// A stage that is up answers at once; one that is down must not take the time that the next needs.
+constexpr std::chrono::milliseconds attach_deadline{300};
+// A plan made before a wait in the queue is made again, since load has moved.
+constexpr std::chrono::milliseconds plan_lifetime{5};
+
+/// Learns that the caller is gone while the request is queued or runs.
+struct caller_watch
+{
+    bool m_gone{false};
+    bool m_resumable{false};
+    std::weak_ptr<model_stream> m_stream;
+};
+
+std::shared_ptr<caller_watch> watch_caller(http_exchange& exchange)
+{
+    auto watch = std::make_shared<caller_watch>();
+    const auto resumable = find_field(exchange.request().m_fields, "X-Fulmaryard-Resumable");
+    watch->m_resumable = resumable && *resumable == "true";
+    exchange.watch_client(
+        [watch]
+        {
+            watch->m_gone = true;
+            if (const auto stream = watch->m_stream.lock())
+                stream->caller_gone(watch->m_resumable);
+        });
+    return watch;
+}
+
+/// One model request from admission to its answer.
+class model_request
+{
+public:
+    model_request(
+        std::shared_ptr<entry_services> services, const request_context& context,
+        http_exchange& exchange, request_record& record)
+        : m_services(std::move(services)),
+          m_context(context),
+          m_exchange(exchange),
+          m_record(record),
+          m_prompt_words(count_words(context.m_completion->m_prompt)),
+          m_response(
+              context.m_chat, context.m_request_id, context.m_model->m_name,
+              std::chrono::duration_cast<std::chrono::seconds>(
+                  std::chrono::system_clock::now().time_since_epoch())
+                  .count())
+    {
+        const auto& model = *context.m_model;
+        const std::uint32_t asked = context.m_completion->m_max_tokens;
+        m_request.m_request_id = context.m_request_id;
+        m_request.m_account = context.m_account->m_name;
+        m_request.m_model = model.m_name;
+        m_request.m_prompt = context.m_completion->m_prompt;
+        m_request.m_max_tokens =
+            asked == 0 ? model.m_max_tokens : std::min(asked, model.m_max_tokens);
+        m_request.m_priority = context.m_priority;
+        m_request.m_generation = context.m_configuration->generation();
+    }
+
+    asio::awaitable<void> run()
+    {
+        m_watch = watch_caller(m_exchange);
+        const auto last_event = find_field(m_context.m_request->m_fields, "Last-Event-ID");
+        std::shared_ptr<model_stream> stream;
+        absl::Status status;
+        if (last_event)
+            status = co_await attach(*last_event, stream);
+        else
+            status = co_await open(stream);
+        if (!status.ok() || m_watch->m_gone)
+        {
+            if (stream)
+                stream->caller_gone(m_watch->m_resumable);
+            co_await refuse(status);
+            co_return;
+        }
+        m_watch->m_stream = stream;
+        if (m_context.m_completion->m_stream)
+            co_await answer_with_events(stream);
+        else
+            co_await answer_whole(stream);
+        m_record.m_replacements = stream->replacements();
+        m_record.m_first_token = stream->first_token().value_or(std::chrono::nanoseconds(0));
+        m_record.m_caller_gone = stream->gone();
+    }
+
+private:
+    planning_request planning() const
+    {
+        planning_request planned;
+        planned.m_prompt = m_request.m_prompt;
+        planned.m_positions = std::uint64_t{m_prompt_words} + m_request.m_max_tokens;
+        planned.m_region = m_services->m_settings.m_region;
+        planned.m_failure_domain = m_services->m_settings.m_failure_domain;
+        return planned;
+    }
+
+    absl::StatusOr<stage_plan> plan(const pipeline_definition& pipeline)
+    {
+        const auto view = m_services->m_directory.published().load();
+        return m_services->m_planner.plan(*view, pipeline, planning());
+    }
+
+    const pipeline_definition* pipeline() const
+    {
+        return m_context.m_configuration->find_pipeline(m_request.m_account, m_request.m_model);
+    }
+
+    asio::awaitable<admission_gate::entry>
+    admit(std::uint32_t tokens, std::chrono::nanoseconds expected_wait)
+    {
+        admission_request asked;
+        asked.m_tokens = tokens;
+        asked.m_priority = m_request.m_priority;
+        asked.m_expected_wait = expected_wait;
+        const auto before = std::chrono::steady_clock::now();
+        auto entered =
+            co_await m_services->m_gate->enter(m_exchange.executor(), *m_context.m_account, asked);
+        m_record.m_queued = std::chrono::steady_clock::now() - before;
+        m_services->m_metrics.m_queue.record(m_record.m_queued);
+        m_retry_after = entered.m_decision.m_retry_after;
+        co_return entered;
+    }
+
+    asio::awaitable<absl::Status> open(std::shared_ptr<model_stream>& stream)
+    {
+        const auto* const stages = pipeline();
+        if (!stages)
+            co_return make_failure(failure_kind::no_endpoint, "the model has no pipeline");
+        auto planned = plan(*stages);
+        if (!planned.ok())
+            co_return planned.status();
+        const auto entered =
+            co_await admit(m_prompt_words + m_request.m_max_tokens, planned->m_expected_wait);
+        if (!entered.m_decision.m_status.ok())
+            co_return entered.m_decision.m_status;
+        if (m_watch->m_gone)
+            co_return make_failure(failure_kind::endpoint_lost, "the caller is gone");
+        if (m_record.m_queued > plan_lifetime)
+        {
+            planned = plan(*stages);
+            if (!planned.ok())
+                co_return planned.status();
+        }
+        stream =
+            std::make_shared<model_stream>(m_services, m_exchange.executor(), m_request, *stages);
+        stream->start(std::move(planned->m_stages), entered.m_lease);
+        co_return absl::OkStatus();
+    }
+
+    /// Asks the stages that the event id names, the last one first since it knows most tokens.
+    asio::awaitable<std::optional<stream_attached>> find_stream(const stream_locator& locator)
+    {
+        const auto view = m_services->m_directory.published().load();
+        attach_stream question;
+        question.m_stream = locator.m_stream;
+        question.m_account = m_request.m_account;
+        question.m_request_id = m_request.m_request_id;
+        question.m_owner_address = m_services->m_settings.m_peer_listen;
+        for (auto it = locator.m_addresses.rbegin(); it != locator.m_addresses.rend(); ++it)
+        {
+            // An event id comes from the caller, so it must not make this entry connect to an
+            // address that is not a side process.
+            if (!view->find(*it))
+                continue;
+            auto slot =
+                std::make_shared<one_shot<stream_registry::attach_answer>>(m_exchange.executor());
+            if (!m_services->m_streams.expect_attach(locator.m_stream, *it, slot))
+                co_return std::nullopt;
+            m_services->m_send(*it, question);
+            const auto answer = co_await slot->wait(attach_deadline);
+            m_services->m_streams.forget_attach(locator.m_stream);
+            if (answer && *answer)
+                co_return *answer;
+        }
+        co_return std::nullopt;
+    }
+
+    asio::awaitable<absl::Status>
+    attach(std::string_view last_event, std::shared_ptr<model_stream>& stream)
+    {
+        const auto locator = parse_stream_locator(last_event);
+        if (!locator.ok())
+            co_return locator.status();
+        const auto* const stages = pipeline();
+        const auto attached = co_await find_stream(*locator);
+        if (!attached || !stages || attached->m_model != m_request.m_model ||
+            locator->m_next_index > attached->m_max_tokens)
+        {
+            co_return make_failure(
+                failure_kind::path_not_found, "there is no such stream", outcome::unknown);
+        }
+        const auto entered = co_await admit(0, std::chrono::nanoseconds(0));
+        if (!entered.m_decision.m_status.ok())
+        {
+            co_return make_failure(
+                kind_of(entered.m_decision.m_status), message_of(entered.m_decision.m_status),
+                outcome::unknown);
+        }
+        m_request.m_prompt = attached->m_prompt;
+        m_request.m_max_tokens = attached->m_max_tokens;
+        m_request.m_priority = attached->m_priority;
+        m_received = locator->m_next_index;
+        stream =
+            std::make_shared<model_stream>(m_services, m_exchange.executor(), m_request, *stages);
+        stream->start_attached(*attached, locator->m_next_index, entered.m_lease);
+        m_services->m_metrics.m_attached.add();
+        co_return absl::OkStatus();
+    }
+
+    asio::awaitable<void> refuse(const absl::Status& status)
+    {
+        m_record.m_status = status;
+        m_record.m_caller_gone = m_watch->m_gone;
+        if (m_watch->m_gone || status.ok())
+            co_return;
+        const absl::Status written = co_await m_exchange.respond(error_response(
+            status, m_context.m_request_id,
+            std::max(m_retry_after, std::chrono::milliseconds(1000))));
+        m_record.m_caller_gone = !written.ok();
+    }
+
+    std::string_view finish_reason(std::uint32_t tokens) const
+    {
+        return tokens >= m_request.m_max_tokens ? "length" : "stop";
+    }
+
+    asio::awaitable<void> answer_with_events(const std::shared_ptr<model_stream>& stream)
+    {
+        std::vector<http_field> fields{{"X-Request-Id", m_context.m_request_id}};
+        absl::Status written = co_await m_exchange.begin_events(std::move(fields));
+        if (written.ok())
+        {
+            written = co_await m_exchange.send_events(
+                m_response.first_event(stream->locator(m_received)));
+        }
+        bool ended = false;
+        while (written.ok() && !ended && !stream->gone())
+        {
+            const auto taken = co_await stream->next();
+            ended = taken.m_ended;
+            m_record.m_tokens += static_cast<std::uint32_t>(taken.m_tokens.size());
+            std::string text;
+            auto index = taken.m_next_index - static_cast<std::uint32_t>(taken.m_tokens.size());
+            for (const auto& next : taken.m_tokens)
+                text += m_response.token_event(stream->locator(++index), next.m_text);
+            if (ended)
+            {
+                m_record.m_status = taken.m_status;
+                text += taken.m_status.ok()
+                            ? m_response.final_events(stream->locator(index), finish_reason(index))
+                            : error_event(error_body(taken.m_status, m_context.m_request_id));
+            }
+            if (!text.empty())
+                written = co_await m_exchange.send_events(text);
+        }
+        if (written.ok() && ended)
+            written = co_await m_exchange.end_events();
+        if (!written.ok())
+            stream->caller_gone(m_watch->m_resumable);
+    }
+
+    asio::awaitable<void> answer_whole(const std::shared_ptr<model_stream>& stream)
+    {
+        std::string text;
+        model_stream::progress taken;
+        while (!taken.m_ended && !stream->gone())
+        {
+            taken = co_await stream->next();
+            m_record.m_tokens += static_cast<std::uint32_t>(taken.m_tokens.size());
+            for (const auto& next : taken.m_tokens)
+                text += next.m_text;
+        }
+        m_record.m_status = taken.m_status;
+        if (stream->gone())
+            co_return;
+        if (!taken.m_status.ok())
+        {
+            co_await refuse(taken.m_status);
+            co_return;
+        }
+        http_response response;
+        response.m_fields = {
+            {"Content-Type", "application/json"}, {"X-Request-Id", m_context.m_request_id}};
+        response.m_body = m_response.body(
+            text, finish_reason(taken.m_next_index), m_prompt_words, taken.m_next_index);
+        const absl::Status written = co_await m_exchange.respond(std::move(response));
+        if (!written.ok())
+            stream->caller_gone(false);
+    }
+
+    std::shared_ptr<entry_services> m_services;
+    const request_context& m_context;
+    http_exchange& m_exchange;
+    request_record& m_record;
+    std::uint32_t m_prompt_words;
+    completion_response m_response;
+    stream_request m_request;
+    std::shared_ptr<caller_watch> m_watch;
+    std::uint32_t m_received{0}; ///< Tokens that the caller had before it reconnected.
+    std::chrono::milliseconds m_retry_after{0};
+};
+
+} // namespace
+
+asio::awaitable<void> dispatch_model_request(
+    std::shared_ptr<entry_services> services, const request_context& context,
+    http_exchange& exchange, request_record& record)
+{
+    model_request request(std::move(services), context, exchange, record);
+    co_await request.run();
+}
+
+} // namespace fulmaryard
--- a/src/model_stream.cpp
+++ b/src/model_stream.cpp
@@ -3,6 +3,7 @@
 #include "entry_services.hpp"
 #include "use_tuple_inl.hpp"
 
+#include <fulmaryard/completion_request.hpp>
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/log.hpp>
 #include <fulmaryard/stream_locator.hpp>
--- a/src/request_filters.cpp
+++ b/src/request_filters.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace fulmaryard
 {
@@ -17,6 +18,10 @@
 {
 
 constexpr std::size_t max_request_id = 128;
+// Well-formed, so that checking a secret against it takes the same time; no secret is known for it.
+constexpr std::string_view unused_key_hash =
+    "sha256:00000000000000000000000000000000:"
+    "0000000000000000000000000000000000000000000000000000000000000000";
 
 class request_id_filter final : public request_filter
 {
@@ -72,12 +77,12 @@
         if (!account)
         {
             // Takes as long as a wrong key, so that the time does not show which accounts exist.
-            matches_key_hash("sha256:00:", secret);
+            std::ignore = verify_key(secret, unused_key_hash);
             return refused();
         }
         const bool known = std::any_of(
             account->m_key_hashes.begin(), account->m_key_hashes.end(),
-            [secret](const std::string& hash) { return matches_key_hash(hash, secret); });
+            [secret](const std::string& hash) { return verify_key(secret, hash); });
         if (!known)
             return refused();
         context.m_account = account;
--- /dev/null
+++ b/src/service_dispatch.cpp
@@ -0,0 +1,227 @@
+#include "entry_services.hpp"
+#include "one_shot_inl.hpp"
+#include "request_dispatcher.hpp"
+#include "request_record.hpp"
+
+#include <fulmaryard/call_ledger.hpp>
+#include <fulmaryard/error_response.hpp>
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/http_exchange.hpp>
+#include <fulmaryard/rendezvous.hpp>
+#include <fulmaryard/service_definition.hpp>
+#include <fulmaryard/service_retry.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::size_t max_idempotency_key = 200;
+
+/// Live side processes of a service. Those whose worker is down come only where all are, since they
+/// answer with a failure faster than a busy one answers at all.
+std::vector<const endpoint*> live_endpoints(const directory_view& view, const std::string& service)
+{
+    std::vector<const endpoint*> up;
+    std::vector<const endpoint*> down;
+    for (const auto& known : view.m_endpoints)
+    {
+        if (known.m_state == endpoint_state::live && known.m_report.m_service == service)
+            (known.m_report.m_engine_up ? up : down).push_back(&known);
+    }
+    return up.empty() ? down : up;
+}
+
+std::vector<std::string> least_outstanding(const std::vector<const endpoint*>& endpoints)
+{
+    std::vector<std::pair<std::uint32_t, std::string>> loads;
+    for (const auto* const known : endpoints)
+        loads.emplace_back(known->outstanding(), known->m_address);
+    std::sort(loads.begin(), loads.end());
+    std::vector<std::string> addresses;
+    for (auto& [load, address] : loads)
+        addresses.push_back(std::move(address));
+    return addresses;
+}
+
+bool is_printable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c < 127; });
+}
+
+/// One call of a plain service, from admission to its answer.
+class service_request
+{
+public:
+    service_request(
+        std::shared_ptr<entry_services> services, const request_context& context,
+        http_exchange& exchange, request_record& record)
+        : m_services(std::move(services)),
+          m_context(context),
+          m_exchange(exchange),
+          m_record(record),
+          m_deadline(
+              context.m_arrived + std::chrono::milliseconds(context.m_service->m_deadline_ms))
+    {
+        const auto& request = *context.m_request;
+        const auto& safe = context.m_service->m_idempotent_methods;
+        m_call.m_reply_address = m_services->m_settings.m_peer_listen;
+        m_call.m_request_id = context.m_request_id;
+        m_call.m_account = context.m_account->m_name;
+        m_call.m_service = context.m_service->m_name;
+        m_call.m_method = request.m_method;
+        m_call.m_path = request.m_target;
+        m_call.m_content_type =
+            std::string(find_field(request.m_fields, "Content-Type").value_or(""));
+        m_call.m_body = request.m_body;
+        m_call.m_idempotent = std::find(safe.begin(), safe.end(), request.m_method) != safe.end();
+        m_call.m_generation = context.m_configuration->generation();
+    }
+
+    asio::awaitable<void> run()
+    {
+        if (!m_call.m_idempotent)
+        {
+            const auto key = find_field(m_context.m_request->m_fields, "Idempotency-Key");
+            if (!key || key->empty() || key->size() > max_idempotency_key || !is_printable(*key))
+            {
+                co_await refuse(make_failure(
+                    failure_kind::invalid_request,
+                    "this call needs an Idempotency-Key of 1 to 200 printable characters"));
+                co_return;
+            }
+            m_call.m_key = std::string(*key);
+        }
+        admission_request asked;
+        asked.m_stream = false;
+        const auto entered =
+            co_await m_services->m_gate->enter(m_exchange.executor(), *m_context.m_account, asked);
+        if (!entered.m_decision.m_status.ok())
+        {
+            co_await refuse(entered.m_decision.m_status, entered.m_decision.m_retry_after);
+            co_return;
+        }
+        const auto result = co_await send();
+        if (!result.m_ok)
+        {
+            co_await refuse(make_failure(result.m_failure, result.m_body, result.m_outcome));
+            co_return;
+        }
+        http_response response;
+        response.m_status = result.m_status;
+        response.m_fields = {{"X-Request-Id", m_context.m_request_id}};
+        if (!result.m_content_type.empty())
+            response.m_fields.push_back({"Content-Type", result.m_content_type});
+        response.m_body = result.m_body;
+        const absl::Status written = co_await m_exchange.respond(std::move(response));
+        m_record.m_caller_gone = !written.ok();
+    }
+
+private:
+    static service_result failed(failure_kind kind, outcome decided, std::string message)
+    {
+        service_result result;
+        result.m_failure = kind;
+        result.m_outcome = decided;
+        result.m_body = std::move(message);
+        return result;
+    }
+
+    asio::awaitable<service_result> send()
+    {
+        const auto view = m_services->m_directory.published().load();
+        const auto endpoints = live_endpoints(*view, m_call.m_service);
+        auto order = least_outstanding(endpoints);
+        if (!m_call.m_idempotent)
+        {
+            const std::uint32_t partition = partition_of(
+                m_call.m_account, m_call.m_service, m_call.m_key,
+                call_ledger_settings().m_partitions);
+            order = rendezvous_order(partition, std::move(order));
+        }
+        auto result = failed(
+            failure_kind::no_endpoint, outcome::not_run, "no live endpoint for this service");
+        // A call that may have run at one endpoint stays so whatever the next ones answer.
+        bool may_have_run = false;
+        for (const auto& address : order)
+        {
+            if (m_record.m_attempts > 0 && !m_services->try_retry())
+                break;
+            ++m_record.m_attempts;
+            result = co_await send_to(*view->find(address));
+            may_have_run = may_have_run || (!result.m_ok && result.m_outcome != outcome::not_run);
+            if (result.m_ok || !may_retry_service_call(m_call.m_idempotent, result) ||
+                std::chrono::steady_clock::now() >= m_deadline)
+                break;
+        }
+        if (!result.m_ok && may_have_run && result.m_outcome == outcome::not_run)
+            result.m_outcome = outcome::unknown;
+        co_return result;
+    }
+
+    asio::awaitable<service_result> send_to(const endpoint& target)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= m_deadline)
+        {
+            co_return failed(
+                failure_kind::deadline_exceeded, outcome::not_run,
+                "the deadline passed before the call was sent");
+        }
+        const auto answer = std::make_shared<one_shot<service_result>>(m_exchange.executor());
+        m_call.m_call = m_services->m_calls.add(
+            target.m_address, [answer](service_result result) { answer->set(std::move(result)); });
+        m_call.m_deadline_ms = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now).count());
+        const auto counters = target.m_counters;
+        counters->m_outstanding.fetch_add(1, std::memory_order_relaxed);
+        m_services->m_send(target.m_address, m_call);
+        auto result = co_await answer->wait(m_deadline - now);
+        counters->m_outstanding.fetch_sub(1, std::memory_order_relaxed);
+        m_services->m_calls.remove(m_call.m_call);
+        if (!result)
+        {
+            co_return failed(
+                failure_kind::deadline_exceeded, outcome::unknown,
+                "no answer within the service's deadline");
+        }
+        if (!result->m_ok && result->m_body.empty())
+            result->m_body = "the endpoint did not complete the call";
+        co_return *result;
+    }
+
+    asio::awaitable<void> refuse(
+        const absl::Status& status,
+        std::chrono::milliseconds retry_after = std::chrono::milliseconds(1000))
+    {
+        m_record.m_status = status;
+        const absl::Status written = co_await m_exchange.respond(
+            error_response(status, m_context.m_request_id, retry_after));
+        m_record.m_caller_gone = !written.ok();
+    }
+
+    std::shared_ptr<entry_services> m_services;
+    const request_context& m_context;
+    http_exchange& m_exchange;
+    request_record& m_record;
+    std::chrono::steady_clock::time_point m_deadline;
+    service_call m_call;
+};
+
+} // namespace
+
+asio::awaitable<void> dispatch_service_call(
+    std::shared_ptr<entry_services> services, const request_context& context,
+    http_exchange& exchange, request_record& record)
+{
+    service_request request(std::move(services), context, exchange, record);
+    co_await request.run();
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/service_retry.cpp
@@ -0,0 +1,27 @@
+#include <fulmaryard/service_result.hpp>
+#include <fulmaryard/service_retry.hpp>
+
+namespace fulmaryard
+{
+
+bool may_retry_service_call(bool idempotent, const service_result& result)
+{
+    if (result.m_ok)
+        return false;
+    switch (result.m_failure)
+    {
+    case failure_kind::draining:
+    case failure_kind::stale_generation:
+    case failure_kind::no_endpoint:
+        return idempotent || result.m_outcome == outcome::not_run;
+    case failure_kind::overloaded:
+    case failure_kind::endpoint_lost:
+    case failure_kind::endpoint_failed:
+    case failure_kind::internal:
+        return idempotent;
+    default:
+        return false;
+    }
+}
+
+} // namespace fulmaryard
