--- /dev/null
+++ b/tests/unit/admission_test.cpp
@@ -0,0 +1,270 @@
+#include <fulmaryard/admission.hpp>
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/retry_budget.hpp>
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <queue>
+#include <random>
+
+using namespace fulmaryard;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const admission::time_point start{1000s};
+
+client_account make_account(const std::string& name)
+{
+    client_account account;
+    account.m_name = name;
+    account.m_requests_per_second = 100'000;
+    account.m_tokens_per_second = 100'000'000;
+    account.m_max_streams = 100'000;
+    return account;
+}
+
+admission_request make_request(std::uint64_t ticket, std::uint32_t tokens = 100)
+{
+    admission_request request;
+    request.m_ticket = ticket;
+    request.m_tokens = tokens;
+    return request;
+}
+
+struct account_result
+{
+    int m_asked{0};
+    int m_served{0};
+};
+
+/// One large account asks for 1,900 and nine small ones for 10 streams a second each, at random
+/// times, against a capacity of 200 a second, for 10 s.
+std::map<std::string, account_result> run_overload(queue_order order)
+{
+    admission_settings settings;
+    settings.m_order = order;
+    admission gate(settings);
+    gate.set_capacity(20, start);
+    constexpr auto hold = 100ms;
+    std::mt19937 random(1);
+    std::map<std::string, account_result> results;
+    std::map<std::uint64_t, std::string> names;
+    std::queue<std::pair<admission::time_point, std::uint64_t>> running;
+    std::uint64_t ticket = 0;
+    const auto apply = [&](const admission::decisions& decided, admission::time_point now)
+    {
+        for (const auto& decision : decided)
+        {
+            if (!decision.m_status.ok())
+                continue;
+            ++results[names[decision.m_ticket]].m_served;
+            running.emplace(now + hold, decision.m_ticket);
+        }
+    };
+    const auto ask = [&](const std::string& name, admission::time_point now)
+    {
+        names[++ticket] = name;
+        ++results[name].m_asked;
+        apply(gate.request(make_account(name), make_request(ticket), now), now);
+    };
+    for (int millisecond = 0; millisecond < 10'000; ++millisecond)
+    {
+        const auto now = start + std::chrono::milliseconds(millisecond);
+        while (!running.empty() && running.front().first <= now)
+        {
+            const auto ended = running.front().second;
+            running.pop();
+            apply(gate.release(ended, now), now);
+        }
+        for (int i = 0; i < 10; ++i)
+        {
+            if (random() % 100 < 19)
+                ask("large", now);
+        }
+        for (int small = 0; small < 9; ++small)
+        {
+            if (random() % 100 == 0)
+                ask("small" + std::to_string(small), now);
+        }
+        if (millisecond % 50 == 0)
+            apply(gate.on_tick(now), now);
+    }
+    return results;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("unit");
+
+TEST_CASE("small accounts are served under tenfold load")
+{
+    const auto fair = run_overload(queue_order::fair);
+    const auto first_come = run_overload(queue_order::first_come);
+    int fair_total = 0;
+    int first_come_small = 0;
+    int small_asked = 0;
+    for (const auto& [name, result] : fair)
+    {
+        CAPTURE(name);
+        fair_total += result.m_served;
+        if (name == "large")
+            continue;
+        // Small accounts ask for half of their fair share of 20 a second.
+        CHECK(result.m_served >= 0.95 * result.m_asked);
+        small_asked += result.m_asked;
+        first_come_small += first_come.at(name).m_served;
+    }
+    CHECK(first_come_small < 0.5 * small_asked);
+    // The capacity of 2,000 streams is not wasted on fairness: goodput stays at 95% of it.
+    CHECK(fair_total >= 1900);
+}
+
+TEST_CASE("limits of one account")
+{
+    admission gate({});
+    gate.set_capacity(1000, start);
+    auto account = make_account("a");
+
+    SUBCASE("requests per second")
+    {
+        account.m_requests_per_second = 5;
+        for (std::uint64_t i = 0; i < 5; ++i)
+            CHECK(gate.request(account, make_request(i), start)[0].m_status.ok());
+        const auto refused = gate.request(account, make_request(9), start);
+        CHECK(kind_of(refused[0].m_status) == failure_kind::rate_limited);
+        CHECK(refused[0].m_retry_after == 200ms);
+        CHECK(gate.request(account, make_request(9), start + 200ms)[0].m_status.ok());
+    }
+    SUBCASE("tokens per second, and one request that is larger than a second of them")
+    {
+        account.m_tokens_per_second = 100;
+        CHECK(gate.request(account, make_request(1, 300), start)[0].m_status.ok());
+        CHECK_FALSE(gate.request(account, make_request(2, 1), start + 1900ms)[0].m_status.ok());
+        CHECK(gate.request(account, make_request(3, 1), start + 2100ms)[0].m_status.ok());
+    }
+    SUBCASE("streams at a time")
+    {
+        account.m_max_streams = 2;
+        CHECK(gate.request(account, make_request(1), start)[0].m_status.ok());
+        CHECK(gate.request(account, make_request(2), start)[0].m_status.ok());
+        const auto refused = gate.request(account, make_request(3), start);
+        CHECK(kind_of(refused[0].m_status) == failure_kind::rate_limited);
+        gate.release(1, start);
+        CHECK(gate.request(account, make_request(3), start)[0].m_status.ok());
+    }
+    SUBCASE("a service call needs no capacity and no tokens")
+    {
+        gate.set_capacity(0, start);
+        auto call = make_request(1, 0);
+        call.m_stream = false;
+        CHECK(gate.request(account, call, start)[0].m_status.ok());
+        CHECK(gate.running() == 0);
+    }
+}
+
+TEST_CASE("priorities order the requests of one account")
+{
+    admission gate({});
+    gate.set_capacity(1, start);
+    const auto account = make_account("a");
+    gate.request(account, make_request(1), start);
+    CHECK(gate.request(account, make_request(2), start).empty());
+    auto urgent = make_request(3);
+    urgent.m_priority = 5;
+    CHECK(gate.request(account, urgent, start).empty());
+    CHECK(gate.release(1, start)[0].m_ticket == 3);
+    CHECK(gate.release(3, start)[0].m_ticket == 2);
+}
+
+TEST_CASE("shares of entries with the same view sum to the limit")
+{
+    admission one({});
+    admission two({});
+    const auto account = make_account("a");
+    for (std::uint64_t i = 0; i < 30; ++i)
+        one.request(account, make_request(i), start);
+    for (std::uint64_t i = 0; i < 10; ++i)
+        two.request(account, make_request(i), start);
+    const auto use_of_one = one.use(start);
+    one.on_peer_use("two", two.use(start), start);
+    two.on_peer_use("one", use_of_one, start);
+    CHECK(one.share("a", start) == doctest::Approx(0.5 * 0.5 + 0.5 * 0.75));
+    CHECK(one.share("a", start) + two.share("a", start) == doctest::Approx(1.0));
+    CHECK(one.share("idle", start) == doctest::Approx(0.5));
+    // An entry that has not reported for 5 s is gone, and its share returns.
+    CHECK(one.share("a", start + 5s) == doctest::Approx(1.0));
+}
+
+TEST_CASE("retries stay within a tenth of the requests and a floor")
+{
+    retry_budget budget;
+    for (int i = 0; i < 10; ++i)
+        CHECK(budget.try_retry(start));
+    CHECK_FALSE(budget.try_retry(start));
+    for (int i = 0; i < 50; ++i)
+        budget.on_request(start + 1s);
+    for (int i = 0; i < 5; ++i)
+        CHECK(budget.try_retry(start + 1s));
+    CHECK_FALSE(budget.try_retry(start + 1s));
+    // The window of 10 s has passed.
+    CHECK(budget.try_retry(start + 12s));
+}
+
+TEST_SUITE_END();
+
+TEST_SUITE_BEGIN("not_run");
+
+TEST_CASE("what admission refuses has not run and is not admitted later")
+{
+    admission gate({});
+    gate.set_capacity(1, start);
+    const auto account = make_account("a");
+
+    SUBCASE("the expected wait is longer than the first-token target")
+    {
+        auto late = make_request(1);
+        late.m_expected_wait = 381ms;
+        const auto refused = gate.request(account, late, start);
+        REQUIRE(refused.size() == 1);
+        CHECK(kind_of(refused[0].m_status) == failure_kind::overloaded);
+        CHECK(outcome_of(refused[0].m_status) == outcome::not_run);
+        CHECK(refused[0].m_retry_after == 381ms);
+    }
+    SUBCASE("a queued request waits too long")
+    {
+        gate.request(account, make_request(1), start);
+        CHECK(gate.request(account, make_request(2), start).empty());
+        CHECK(gate.on_tick(start + 379ms).empty());
+        const auto refused = gate.on_tick(start + 380ms);
+        REQUIRE(refused.size() == 1);
+        CHECK(outcome_of(refused[0].m_status) == outcome::not_run);
+        CHECK(gate.release(1, start + 381ms).empty());
+    }
+    SUBCASE("a withdrawn request")
+    {
+        gate.request(account, make_request(1), start);
+        gate.request(account, make_request(2), start);
+        gate.release(2, start);
+        CHECK(gate.release(1, start).empty());
+        CHECK(gate.queued() == 0);
+    }
+    SUBCASE("a full queue drops from the longest queue of an account")
+    {
+        admission_settings settings;
+        settings.m_max_queued = 3;
+        admission small_gate(settings);
+        small_gate.set_capacity(1, start);
+        for (std::uint64_t i = 1; i <= 4; ++i)
+            small_gate.request(account, make_request(i), start);
+        const auto decided = small_gate.request(make_account("b"), make_request(5), start);
+        REQUIRE(decided.size() == 1);
+        CHECK(decided[0].m_ticket == 4);
+        CHECK(outcome_of(decided[0].m_status) == outcome::not_run);
+        CHECK(small_gate.queued() == 3);
+    }
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/unit/endpoint_directory_test.cpp
@@ -0,0 +1,116 @@
+#include <fulmaryard/endpoint_directory.hpp>
+#include <fulmaryard/hello.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace fulmaryard;
+
+namespace
+{
+
+hello make_hello(const std::string& process)
+{
+    return {process, "side", "s1", 1};
+}
+
+load_report make_report(const std::string& process, std::uint32_t outstanding = 0)
+{
+    load_report report;
+    report.m_process = process;
+    report.m_address = "s1";
+    report.m_outstanding = outstanding;
+    report.m_engine_up = true;
+    return report;
+}
+
+instance_list make_list(bool leaving)
+{
+    return {
+        1, {{"side-1", "side", "s1", "r", "d", leaving}, {"e", "entry", "e1", "r", "d", false}}};
+}
+
+endpoint_state state_in(const endpoint_directory& directory)
+{
+    const auto view = directory.published().load();
+    const auto* const known = view->find("s1");
+    return known ? known->m_state : endpoint_state::silent;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("leaving");
+
+TEST_CASE("the directory follows links and reports while the list lags")
+{
+    endpoint_directory directory;
+    GIVEN("a listed side process whose link is up and that has reported")
+    {
+        CHECK(directory.on_instances(make_list(false)).m_pin == std::vector<std::string>{"s1"});
+        CHECK(state_in(directory) == endpoint_state::silent);
+        directory.on_peer_up(make_hello("p1"));
+        CHECK(state_in(directory) == endpoint_state::silent);
+        directory.on_load_report(make_report("p1"));
+        CHECK(state_in(directory) == endpoint_state::live);
+
+        WHEN("it reports that it leaves and the list still shows it as live")
+        {
+            auto report = make_report("p1");
+            report.m_leaving = true;
+            directory.on_load_report(report);
+            directory.on_instances(make_list(false));
+            THEN("it is leaving at once")
+            {
+                CHECK(state_in(directory) == endpoint_state::leaving);
+            }
+        }
+        WHEN("the list shows it as leaving before it reports so")
+        {
+            directory.on_instances(make_list(true));
+            directory.on_load_report(make_report("p1"));
+            CHECK(state_in(directory) == endpoint_state::leaving);
+        }
+        WHEN("its link goes down and the list still shows it")
+        {
+            directory.on_peer_down("s1");
+            directory.on_instances(make_list(false));
+            CHECK(state_in(directory) == endpoint_state::silent);
+            AND_WHEN("the list drops it")
+            {
+                const auto changes = directory.on_instances({2, {}});
+                CHECK(changes.m_unpin == std::vector<std::string>{"s1"});
+                CHECK(directory.published().load()->m_endpoints.empty());
+            }
+        }
+        WHEN("the list drops it too early")
+        {
+            CHECK(directory.on_instances({2, {}}).m_unpin.empty());
+            CHECK(state_in(directory) == endpoint_state::live);
+        }
+        WHEN("it was restarted")
+        {
+            directory.on_peer_up(make_hello("p2"));
+            THEN("the report of the earlier process does not make it live")
+            {
+                CHECK(state_in(directory) == endpoint_state::silent);
+                directory.on_load_report(make_report("p2"));
+                CHECK(state_in(directory) == endpoint_state::live);
+            }
+        }
+        WHEN("it reports load that is partly of this entry")
+        {
+            const auto counters = directory.published().load()->find("s1")->m_counters;
+            counters->m_outstanding = 3;
+            directory.on_load_report(make_report("p1", 10));
+            directory.publish_load();
+            counters->m_outstanding = 5;
+            CHECK(directory.published().load()->find("s1")->outstanding() == 5 + 7);
+        }
+    }
+    GIVEN("a side process that the list does not show yet")
+    {
+        CHECK(directory.on_peer_hello(make_hello("p1")));
+        CHECK_FALSE(directory.on_peer_hello(make_hello("p1")));
+    }
+}
+
+TEST_SUITE_END();
