--- a/src/account_use_exchange.cpp
+++ b/src/account_use_exchange.cpp
@@ -12,6 +12,7 @@
 #include <boost/json.hpp>
 
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace fulmaryard
@@ -35,7 +36,7 @@
     request.m_fields = {{"Content-Type", "application/json"}};
     request.m_body = std::move(body);
     // A lost report is made good by the next one.
-    co_await peer->send(std::move(request), report_deadline);
+    std::ignore = co_await peer->send(std::move(request), report_deadline);
 }
 
 } // namespace
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -19,6 +19,7 @@
 #include <fulmaryard/platform_client.hpp>
 #include <fulmaryard/process_lifecycle.hpp>
 #include <fulmaryard/request_filter.hpp>
+#include <fulmaryard/watcher_election.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -43,7 +44,8 @@
 {
 
 constexpr std::chrono::milliseconds tick_interval{50};
-constexpr std::chrono::milliseconds instances_wait{10'000};
+// A silent connection is noticed only after the wait and a margin, and then read again.
+constexpr std::chrono::milliseconds instances_wait{3000};
 constexpr std::chrono::milliseconds instances_retry{500};
 // Shortest drain: requests on their way when `/readyz` turns off still get an answer.
 constexpr std::chrono::milliseconds shortest_drain{500};
@@ -426,10 +428,12 @@
         std::vector<std::string> entries;
         for (const auto& instance : list->m_instances)
         {
-            if (instance.m_role == "entry")
+            if (instance.m_role == "entry" && !instance.m_leaving)
                 entries.push_back(instance.m_peer_address);
         }
         m_use->set_entries(entries);
+        const auto& settings = m_services->m_settings;
+        m_controller.watch_platform(shall_watch_configuration(settings.m_peer_listen, entries));
     }
 }
 
