Name HTTP messages that are passed to coroutines

The side process aborted in free() as soon as the engine could be reached: g++ 12 copies a braced temporary inside a co_await expression byte by byte, so short strings were freed through the pointer of the copy.

--- a/include/fulmaryard/http_client.hpp
+++ b/include/fulmaryard/http_client.hpp
@@ -40,6 +40,8 @@
     /// Failures: `endpoint_lost` or `deadline_exceeded`, with progress `not_sent` when the
     /// connection could not be made and `sent` otherwise. A request on a kept-alive connection
     /// that proves closed before any byte of a response is sent again once on a new one.
+    /// Pass a named `request`: g++ 12 copies a braced temporary inside a co_await expression byte
+    /// by byte, and its strings are then freed twice.
     boost::asio::awaitable<absl::StatusOr<http_response>>
     send(http_request request, std::chrono::milliseconds deadline, reuse policy = reuse::allowed);
 
--- a/src/engine_link.cpp
+++ b/src/engine_link.cpp
@@ -199,8 +199,8 @@
 
     asio::awaitable<absl::StatusOr<engine_info>> read_info()
     {
-        const auto response =
-            co_await m_http.send({"GET", "/v1/info", {}, ""}, m_limits.m_info_interval);
+        http_request request{"GET", "/v1/info", {}, ""};
+        const auto response = co_await m_http.send(std::move(request), m_limits.m_info_interval);
         if (!response.ok())
             co_return response.status();
         if (response->m_status != 200)
--- a/src/entry_services.cpp
+++ b/src/entry_services.cpp
@@ -25,8 +25,7 @@
       m_metrics(registry),
       m_planner(make_planning_strategy(m_settings.m_planner), std::random_device{}()),
       m_gate(std::make_shared<admission_gate>(admission_settings_of(m_settings))),
-      m_index(std::make_shared<configuration_index>(
-          std::make_shared<fulmaryard::configuration>()))
+      m_index(std::make_shared<configuration_index>(std::make_shared<fulmaryard::configuration>()))
 {
 }
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -332,7 +332,10 @@
         m_exchanges.fetch_sub(1);
         exchange.end_watch();
         if (!exchange.responded())
-            std::ignore = co_await exchange.respond({500, {}, {}});
+        {
+            http_response response{500, {}, {}};
+            std::ignore = co_await exchange.respond(std::move(response));
+        }
         if (!exchange.usable() || !message.keep_alive())
             break;
     }
--- a/src/model_stream.cpp
+++ b/src/model_stream.cpp
@@ -112,16 +112,14 @@
 
 void model_stream::on_peer_connected(const hello& peer)
 {
-    post(
-        [peer](model_stream& self)
-        { self.run(self.m_owner->on_peer_connected(peer, std::chrono::steady_clock::now())); });
+    post([peer](model_stream& self)
+         { self.run(self.m_owner->on_peer_connected(peer, std::chrono::steady_clock::now())); });
 }
 
 void model_stream::on_peer_down(const std::string& address)
 {
-    post(
-        [address](model_stream& self)
-        { self.run(self.m_owner->on_peer_down(address, std::chrono::steady_clock::now())); });
+    post([address](model_stream& self)
+         { self.run(self.m_owner->on_peer_down(address, std::chrono::steady_clock::now())); });
 }
 
 void model_stream::on_replaced()
@@ -131,7 +129,8 @@
         {
             // Sends no cancel: the stages belong to the new owner.
             self.end(make_failure(
-                failure_kind::stale_epoch, "the stream was taken over", dispatch_progress::started));
+                failure_kind::stale_epoch, "the stream was taken over",
+                dispatch_progress::started));
         });
 }
 
