--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -55,6 +55,7 @@
     std::vector<std::string> words{binary};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
+    pointers.reserve(words.size() + 1);
     for (std::string& word : words)
         pointers.push_back(word.data());
     pointers.push_back(nullptr);
--- a/tests/process/harness_test.cpp
+++ b/tests/process/harness_test.cpp
@@ -432,6 +432,20 @@
     }
 }
 
+TEST_CASE("a relay cuts and restores the way to a part")
+{
+    test_system system;
+    system.add_worker("worker");
+    system.add_relay("relay", "worker");
+    const test_client through = system.client("relay");
+    CHECK(status_of(through.get("/orders")) == 200);
+    system.inject("relay", R"({"kind": "cut"})");
+    CHECK_FALSE(through.get("/orders", std::chrono::milliseconds(500)).ok());
+    CHECK(status_of(system.client("worker").get("/orders")) == 200);
+    system.clear_faults("relay");
+    CHECK(status_of(through.get("/orders")) == 200);
+}
+
 TEST_CASE("parts keep their address when they are killed and restarted")
 {
     test_system system;
@@ -452,10 +466,11 @@
 
 TEST_CASE("a key hash is the digest of salt and secret")
 {
-    // Digest of "ab12secret" computed with sha256sum.
+    // Computed with sha256sum over the text of the salt followed by the secret.
     CHECK(
-        make_key_hash("secret", "ab12") ==
-        "sha256:ab12:6eb98e8f09678d515bae04571e20dedb1004581dbb960bab1d71f0363e3ec93c");
+        make_key_hash("secret", "00112233445566778899aabbccddeeff") ==
+        "sha256:00112233445566778899aabbccddeeff:"
+        "a646118b31dc9839381df254dd210eedac8fb69a7207c3946ed58a9d8d0320a0");
 }
 
 TEST_SUITE_END();
--- a/tests/process/test_client.cpp
+++ b/tests/process/test_client.cpp
@@ -92,8 +92,8 @@
 }
 
 absl::StatusOr<streamed_answer> test_client::complete(
-    const std::vector<std::string>& addresses, http_request request, std::size_t reconnections,
-    std::chrono::milliseconds silence)
+    const std::vector<std::string>& addresses, const http_request& request,
+    std::size_t reconnections, std::chrono::milliseconds silence)
 {
     streamed_answer answer;
     std::string last_id;
--- a/tests/process/test_client.hpp
+++ b/tests/process/test_client.hpp
@@ -43,7 +43,7 @@
     /// same X-Request-Id and the last event id, at most `reconnections` times. A response other
     /// than 200 is a failure that names the status and has the body as message.
     static absl::StatusOr<streamed_answer> complete(
-        const std::vector<std::string>& addresses, http_request request,
+        const std::vector<std::string>& addresses, const http_request& request,
         std::size_t reconnections = 0, std::chrono::milliseconds silence = m_default_deadline);
 
 private:
--- a/tests/process/test_system.cpp
+++ b/tests/process/test_system.cpp
@@ -110,7 +110,7 @@
         fmt::format(
             "name: {}\npeer_listen: {}\nregion: {}\nfailure_domain: {}\nplatform: {}\n{}{}", name,
             peer_address(created), region, failure_domain, address("platform"), own, settings));
-    created.m_arguments = {role, path};
+    created.m_arguments = {role, "--settings", path};
     start(name);
     register_instance(name, false);
 }
@@ -302,6 +302,7 @@
             services.insert(each.m_service);
     }
     std::vector<std::string> ranges;
+    ranges.reserve(stages.size());
     for (const layer_range& stage : stages)
         ranges.push_back(fmt::format("[{}, {}]", stage.m_begin, stage.m_end));
     std::string text = fmt::format("tenant: {}\n", tenant);
@@ -341,6 +342,11 @@
     return account + "." + account + "-secret";
 }
 
+std::string test_system::chat_prompt(const std::string& content)
+{
+    return "user: " + content;
+}
+
 test_system::part& test_system::find(const std::string& name)
 {
     return const_cast<part&>(std::as_const(*this).find(name));
--- a/tests/process/test_system.hpp
+++ b/tests/process/test_system.hpp
@@ -103,6 +103,9 @@
     /// The bearer token of an account in `make_configuration`.
     static std::string bearer(const std::string& account);
 
+    /// The prompt that the entry makes of a chat with one message of the user; for the reference.
+    static std::string chat_prompt(const std::string& content);
+
 private:
     struct part
     {
--- a/tests/unit/reference_model_test.cpp
+++ b/tests/unit/reference_model_test.cpp
@@ -19,6 +19,7 @@
     std::uint64_t finish_modulus)
 {
     std::vector<stage_session> sessions;
+    sessions.reserve(stages.size());
     for (const layer_range& stage : stages)
         sessions.emplace_back(stage);
     const auto run = [&sessions](std::uint64_t id)
