Name the requests that the side process sends to engine and worker

A braced temporary in a co_await is destroyed twice by g++ 12: the side process aborted with "free(): invalid pointer" as soon as it read /v1/info. With named requests it becomes ready.

--- a/src/engine_link.cpp
+++ b/src/engine_link.cpp
@@ -199,8 +199,9 @@
 
     asio::awaitable<absl::StatusOr<engine_info>> read_info()
     {
-        const auto response =
-            co_await m_http.send({"GET", "/v1/info", {}, ""}, m_limits.m_info_interval);
+        // A named request: g++ 12 frees the strings of a braced temporary in a co_await twice.
+        http_request request{"GET", "/v1/info", {}, ""};
+        const auto response = co_await m_http.send(std::move(request), m_limits.m_info_interval);
         if (!response.ok())
             co_return response.status();
         if (response->m_status != 200)
--- a/src/worker_client.cpp
+++ b/src/worker_client.cpp
@@ -269,7 +269,9 @@
         asio::steady_timer timer(co_await asio::this_coro::executor);
         while (!m_stopped)
         {
-            const auto response = co_await m_http.send({"GET", "/healthz", {}, ""}, probe_interval);
+            // A named request: g++ 12 frees the strings of a braced temporary in a co_await twice.
+            http_request request{"GET", "/healthz", {}, ""};
+            const auto response = co_await m_http.send(std::move(request), probe_interval);
             // A slow worker is not a dead one: only a failed connect shows that it is gone.
             const bool up = response.ok() || outcome_of(response.status()) != outcome::not_run;
             if (m_worker_up.exchange(up) != up)
