Keep co_await out of a conditional expression in the configuration controller

g++ 12 frees the result twice: the entry aborted with "free(): invalid pointer" after its first read of the configuration. It now starts and links to the side processes. The HTTP server's response to a request that its handler left open had the same form and is changed likewise; no run had shown it.

--- a/src/configuration_controller.cpp
+++ b/src/configuration_controller.cpp
@@ -95,9 +95,13 @@
 asio::awaitable<bool> configuration_controller::read_next()
 {
     const std::string name(current_configuration_name);
-    // After an outage a plain read answers at once, also when nothing has changed.
-    const auto object = m_reachable ? co_await m_platform.watch(name, m_version, watch_wait)
-                                    : co_await m_platform.get(name, call_deadline);
+    // After an outage a plain read answers at once, also when nothing has changed. Not a
+    // conditional expression: g++ 12 frees the result of a co_await in one twice.
+    absl::StatusOr<platform_object> object;
+    if (m_reachable)
+        object = co_await m_platform.watch(name, m_version, watch_wait);
+    else
+        object = co_await m_platform.get(name, call_deadline);
     const bool was_reachable = m_reachable.exchange(object.ok());
     if (!object.ok())
     {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -332,7 +332,11 @@
         m_exchanges.fetch_sub(1);
         exchange.end_watch();
         if (!exchange.responded())
-            std::ignore = co_await exchange.respond({500, {}, {}});
+        {
+            // Named, since g++ 12 frees the members of a braced temporary in a co_await twice.
+            http_response empty{500, {}, {}};
+            std::ignore = co_await exchange.respond(std::move(empty));
+        }
         if (!exchange.usable() || !message.keep_alive())
             break;
     }
