--- a/src/engine_link.cpp
+++ b/src/engine_link.cpp
@@ -199,6 +199,7 @@
 
     asio::awaitable<absl::StatusOr<engine_info>> read_info()
     {
+        // A named request: g++ 12 frees the strings of a braced temporary in a co_await twice.
         http_request request{"GET", "/v1/info", {}, ""};
         const auto response = co_await m_http.send(std::move(request), m_limits.m_info_interval);
         if (!response.ok())
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -333,8 +333,9 @@
         exchange.end_watch();
         if (!exchange.responded())
         {
-            http_response response{500, {}, {}};
-            std::ignore = co_await exchange.respond(std::move(response));
+            // Named, since g++ 12 frees the members of a braced temporary in a co_await twice.
+            http_response empty{500, {}, {}};
+            std::ignore = co_await exchange.respond(std::move(empty));
         }
         if (!exchange.usable() || !message.keep_alive())
             break;
--- a/src/worker_client.cpp
+++ b/src/worker_client.cpp
@@ -269,6 +269,7 @@
         asio::steady_timer timer(co_await asio::this_coro::executor);
         while (!m_stopped)
         {
+            // A named request: g++ 12 frees the strings of a braced temporary in a co_await twice.
             http_request request{"GET", "/healthz", {}, ""};
             const auto response = co_await m_http.send(std::move(request), probe_interval);
             // A slow worker is not a dead one: only a failed connect shows that it is gone.
