Remove only the epoch check in the test without it; bound closed streams in constant time

The earlier switch also hid the answers that a last stage waits for, so that the test passed for want of progress.

--- a/src/stage_node.cpp
+++ b/src/stage_node.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <utility>
 
@@ -34,6 +35,7 @@
     stream_map m_streams;
     absl::flat_hash_map<std::uint64_t, stream_id> m_runs; ///< In flight.
     std::map<std::uint64_t, stream_id> m_retaining;       ///< Streams with outputs, oldest first.
+    std::deque<std::pair<time_point, stream_id>> m_closed_order; ///< Closed first, first.
     std::uint64_t m_last_order{0};
     std::uint64_t m_last_session{0};
     std::uint64_t m_last_run{0};
@@ -109,8 +111,6 @@
         if (stream.m_closed)
             return;
         end_session(stream);
-        stream.m_closed = true;
-        stream.m_closed_at = m_now;
         stream.m_early_pulls.clear();
         if (!stream.m_finished)
         {
@@ -118,6 +118,7 @@
             stream.m_open.m_prompt.clear();
         }
         --m_active;
+        note_closed(stream);
     }
 
     void report(const stage_stream& stream, std::uint32_t stage, failure_kind reason)
@@ -135,17 +136,24 @@
             forget_outputs(*find(m_retaining.begin()->second));
     }
 
-    // Closed streams are bounded too: the one closed first goes.
-    void limit_closed()
+    void note_closed(stage_stream& stream)
     {
-        if (m_streams.size() - m_active <= 4 * m_settings.m_max_streams)
-            return;
-        auto oldest = m_streams.end();
-        for (auto at = m_streams.begin(); at != m_streams.end(); ++at)
-            if (at->second->m_closed && (oldest == m_streams.end() ||
-                                         at->second->m_closed_at < oldest->second->m_closed_at))
-                oldest = at;
-        m_streams.erase(oldest);
+        stream.m_closed = true;
+        stream.m_closed_at = m_now;
+        m_closed_order.emplace_back(m_now, stream.m_open.m_stream);
+        // Closed streams are bounded too: the one closed first goes.
+        while (m_streams.size() - m_active > 4 * m_settings.m_max_streams + 1)
+            forget_first_closed();
+    }
+
+    // Entries of streams that are gone, or that were opened and closed again, have no effect.
+    void forget_first_closed()
+    {
+        const auto [closed_at, id] = m_closed_order.front();
+        m_closed_order.pop_front();
+        const stage_stream* const stream = find(id);
+        if (stream && stream->m_closed && stream->m_closed_at == closed_at)
+            m_streams.erase(id);
     }
 
     // ---- opening
@@ -192,10 +200,8 @@
         stream->m_open.m_known_tokens.clear();
         stream->m_tokens.clear();
         stream->m_finished = false;
-        stream->m_closed = true;
-        stream->m_closed_at = m_now;
         stream->m_refused = reason;
-        limit_closed();
+        note_closed(*stream);
     }
 
     void on(const hello&, const open_stream& open)
@@ -221,7 +227,7 @@
     {
         stream.m_open = open;
         stream.m_open.m_known_tokens.clear();
-        stream.m_closed_at = m_now;
+        note_closed(stream);
         confirm(stream);
         send_tokens(
             stream, 0, stream.is_last() ? open.m_owner_address : open.m_plan.back().m_address);
@@ -729,24 +735,25 @@
 
     void tick()
     {
-        for (auto at = m_streams.begin(); at != m_streams.end();)
+        while (!m_closed_order.empty() &&
+               m_now - m_closed_order.front().first > m_settings.m_finished_retention)
+            forget_first_closed();
+        std::vector<stage_stream*> orphans;
+        for (auto& [id, held] : m_streams)
         {
-            stage_stream& stream = *at->second;
+            stage_stream& stream = *held;
             if (!stream.m_closed && m_now - stream.m_owner_seen > m_settings.m_orphan_timeout)
-                close(stream);
-            if (stream.m_closed && m_now - stream.m_closed_at > m_settings.m_finished_retention)
-            {
-                m_streams.erase(at++);
-                continue;
-            }
-            if (!stream.m_closed && m_now - stream.m_input_seen > repull_interval &&
+                orphans.push_back(&stream);
+            else if (
+                !stream.m_closed && m_now - stream.m_input_seen > repull_interval &&
                 stream.m_run == 0 && !stream.m_finished)
             {
                 pull_inputs(stream);
                 ask_unheard(stream);
             }
-            ++at;
         }
+        for (stage_stream* const orphan : orphans)
+            close(*orphan);
     }
 };
 
--- a/tests/unit/stream_recovery_test.cpp
+++ b/tests/unit/stream_recovery_test.cpp
@@ -38,6 +38,15 @@
         MESSAGE(totals.m_violations[at]);
 }
 
+std::size_t wrong_tokens(const schedule_totals& totals)
+{
+    std::size_t count = 0;
+    for (const std::string& text : totals.m_violations)
+        if (text.find("does not follow from the answer") != std::string::npos)
+            ++count;
+    return count;
+}
+
 } // namespace
 
 TEST_SUITE_BEGIN("layers_once");
@@ -106,12 +115,12 @@
     SUBCASE("restart from the prompt contradicts delivered tokens when samples differ")
     {
         options.m_recovery = fulmaryard::recovery_strategy::restart;
-        CHECK_FALSE(run_schedules(options, 1000, 100).m_violations.empty());
+        CHECK(wrong_tokens(run_schedules(options, 1000, 100)) > 0);
     }
     SUBCASE("without the epoch check an abandoned stage feeds the stream")
     {
         options.m_epoch_check = false;
-        CHECK_FALSE(run_schedules(options, 1000, 400).m_violations.empty());
+        CHECK(wrong_tokens(run_schedules(options, 1000, 600)) > 0);
     }
 }
 
--- a/tests/unit/stream_world.cpp
+++ b/tests/unit/stream_world.cpp
@@ -129,7 +129,11 @@
     for (owner_action& action : actions)
     {
         if (const auto* const message = std::get_if<send_message>(&action))
+        {
+            if (const auto* const open = std::get_if<open_stream>(&message->m_message))
+                entry.m_epoch = open->m_epoch;
             send(entry.m_hello, *message);
+        }
         else if (const auto* const delivery = std::get_if<deliver_tokens>(&action))
             receive(entry, *delivery);
         else if (const auto* const choice = std::get_if<choose_replacement>(&action))
@@ -248,33 +252,40 @@
                 side->m_epoch = open->m_epoch;
                 side->m_plan = open->m_plan;
             }
-        if (!m_options.m_epoch_check)
-            remove_epoch_check(*side, message);
+        const std::size_t count = side->m_plan.size();
+        // Tokens that a last stage receives tell it what others know; they are no input.
+        if (!m_options.m_epoch_check && count > 1 &&
+            (side->m_stage == 0 || std::holds_alternative<activations>(message.m_message)))
+            remove_epoch_check(
+                side->m_epoch, side->m_plan[(side->m_stage + count - 1) % count], message);
         return perform(*side, side->m_node->on_message(message.m_from, message.m_message, now()));
     }
     entry_stand_in* const entry = entry_at(address);
     if (!entry)
         return;
+    if (!m_options.m_epoch_check && entry->m_owner)
+        remove_epoch_check(entry->m_epoch, entry->m_owner->plan().back(), message);
     if (const auto* const attached = std::get_if<stream_attached>(&message.m_message))
         entry->m_attached.push_back(*attached);
     else if (entry->m_owner)
         perform(*entry, entry->m_owner->on_message(message.m_from, message.m_message, now()));
 }
 
-// Without its epoch and sender a message of an abandoned stage passes for one of its successor.
-void stream_world::remove_epoch_check(const side_stand_in& side, in_flight& message) const
+// Lets a message of an abandoned stage pass for one of its successor in the current plan.
+void stream_world::remove_epoch_check(
+    const epoch& current, const stage_assignment& producer, in_flight& message)
 {
-    if (side.m_plan.empty())
-        return;
-    const std::size_t count = side.m_plan.size();
-    const std::string producer = side.m_plan[(side.m_stage + count - 1) % count].m_process;
+    const auto renew = [&](auto& output)
+    {
+        if (output.m_epoch >= current)
+            return;
+        output.m_epoch = current;
+        message.m_from.m_process = producer.m_process;
+    };
     if (auto* const input = std::get_if<activations>(&message.m_message))
-        input->m_epoch = side.m_epoch;
+        renew(*input);
     else if (auto* const generated = std::get_if<tokens>(&message.m_message))
-        generated->m_epoch = side.m_epoch;
-    else
-        return;
-    message.m_from.m_process = producer;
+        renew(*generated);
 }
 
 void stream_world::run_engines()
--- a/tests/unit/stream_world.hpp
+++ b/tests/unit/stream_world.hpp
@@ -52,6 +52,7 @@
 {
     fulmaryard::hello m_hello;
     std::unique_ptr<fulmaryard::stream_owner> m_owner;
+    fulmaryard::epoch m_epoch; ///< Of the last open; only for m_epoch_check == false.
     std::vector<fulmaryard::stream_attached> m_attached;
     std::int64_t m_attach_began{-1};
     std::uint32_t m_first_index{0};
@@ -110,7 +111,9 @@
     void step();
     void deliver_one();
     void deliver(const std::string& address, in_flight message);
-    void remove_epoch_check(const side_stand_in& side, in_flight& message) const;
+    static void remove_epoch_check(
+        const fulmaryard::epoch& current, const fulmaryard::stage_assignment& producer,
+        in_flight& message);
     void run_engines();
     void advance_time();
     void inject_fault();
