--- a/tests/unit/stream_world.cpp
+++ b/tests/unit/stream_world.cpp
@@ -147,7 +147,7 @@
 stage_assignment stream_world::replacement_for(std::size_t stage)
 {
     const std::string address = "side:" + std::to_string(100 + m_last_process);
-    const stage_assignment chosen = assignment_of(spawn(stage, address));
+    stage_assignment chosen = assignment_of(spawn(stage, address));
     if (m_options.m_kills && m_now_ms < faults_end_ms && chance(100))
     {
         m_dead.push_back(std::move(m_sides[address]));
