--- a/include/fulmaryard/activations.hpp
+++ b/include/fulmaryard/activations.hpp
@@ -24,13 +24,17 @@
     /// The generated tokens that are the inputs of those positions of the message that lie behind
     /// the prompt, so that every stage knows the answer up to its own position.
     std::vector<token> m_input_tokens;
+    /// The producer holds outputs behind these that it sends only when they are pulled.
+    bool m_more{false};
 
     friend auto operator<=>(const activations&, const activations&) = default;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(m_stream, m_epoch, m_first_position, m_prompt_positions, m_values, m_input_tokens);
+        archive(
+            m_stream, m_epoch, m_first_position, m_prompt_positions, m_values, m_input_tokens,
+            m_more);
     }
 };
 
--- a/include/fulmaryard/stage_node.hpp
+++ b/include/fulmaryard/stage_node.hpp
@@ -30,6 +30,10 @@
     layer_range m_layers;
     std::size_t m_max_streams{4096};
     std::size_t m_max_retained_bytes{64 * 1024 * 1024};
+    std::size_t m_message_bytes{1024 * 1024}; ///< Of activations in one message.
+    /// Of activations sent before the consumer pulls again. Half of a link's queue (8 MiB), which
+    /// would close the link when it overflows.
+    std::size_t m_window_bytes{4 * 1024 * 1024};
     std::chrono::milliseconds m_orphan_timeout{10'000}; ///< Without an owner's link.
     std::chrono::milliseconds m_finished_retention{30'000};
 };
--- a/src/stage_node.cpp
+++ b/src/stage_node.cpp
@@ -20,9 +20,6 @@
 // event; this covers a message that was dropped because its receiver had not been opened yet.
 constexpr std::chrono::milliseconds repull_interval{1000};
 
-// One message must stay well below the byte limit of a link's queue (8 MiB).
-constexpr std::size_t max_message_bytes = 1024 * 1024;
-
 constexpr std::size_t max_early_pulls = 8; // Two of each neighbour and of the owner.
 
 } // namespace
@@ -373,6 +370,8 @@
         const std::size_t known = expected - message.m_first_position;
         for (std::size_t at = known; at < message.m_values.size(); ++at)
             stream->m_inputs.push_back(message.m_values[at]);
+        if (message.m_more && known < message.m_values.size())
+            pull_inputs(*stream);
         advance(*stream);
     }
 
@@ -578,7 +577,8 @@
     void send_outputs(const stage_stream& stream, std::uint32_t from, const std::string& address)
     {
         std::size_t at = from - stream.m_outputs_first;
-        while (at < stream.m_outputs.size())
+        std::size_t window = 0;
+        while (at < stream.m_outputs.size() && window < m_settings.m_window_bytes)
         {
             activations message;
             message.m_stream = stream.m_open.m_stream;
@@ -586,7 +586,7 @@
             message.m_first_position = stream.m_outputs_first + static_cast<std::uint32_t>(at);
             message.m_prompt_positions = stream.m_prompt;
             std::size_t bytes = 0;
-            for (; at < stream.m_outputs.size() && bytes < max_message_bytes; ++at)
+            for (; at < stream.m_outputs.size() && bytes < m_settings.m_message_bytes; ++at)
             {
                 const std::size_t position = stream.m_outputs_first + at;
                 if (position >= stream.m_prompt)
@@ -594,6 +594,8 @@
                 bytes += stream.m_outputs[at].size();
                 message.m_values.push_back(stream.m_outputs[at]);
             }
+            window += bytes;
+            message.m_more = at < stream.m_outputs.size() && window >= m_settings.m_window_bytes;
             send(address, std::move(message));
         }
     }
--- a/tests/unit/stream_recovery_test.cpp
+++ b/tests/unit/stream_recovery_test.cpp
@@ -71,6 +71,13 @@
         CHECK(totals.m_replacements > 100);
         CHECK(totals.m_reopened_sessions == 0);
     }
+    SUBCASE("outputs are pulled in windows of a few positions")
+    {
+        options.m_window_bytes = 40;
+        const auto totals = run_schedules(options, 1500, 200);
+        check_clean(totals);
+        CHECK(totals.m_reopened_sessions == 0);
+    }
     SUBCASE("engines lose their state as well")
     {
         options.m_engine_losses = true;
--- a/tests/unit/stream_world.cpp
+++ b/tests/unit/stream_world.cpp
@@ -69,6 +69,8 @@
     settings.m_model = "model";
     settings.m_layers = range;
     settings.m_max_retained_bytes = m_options.m_max_retained_bytes;
+    settings.m_message_bytes = m_options.m_window_bytes / 2;
+    settings.m_window_bytes = m_options.m_window_bytes;
     side->m_node = std::make_unique<stage_node>(settings);
     side_stand_in& added = *side;
     m_sides[address] = std::move(side);
--- a/tests/unit/stream_world.hpp
+++ b/tests/unit/stream_world.hpp
@@ -32,6 +32,7 @@
     std::uint32_t m_slowest_step_ms{40};
     std::uint32_t m_fault_per_mille{300}; ///< Of the steps in which a fault may happen.
     std::size_t m_max_retained_bytes{1 << 20};
+    std::size_t m_window_bytes{1 << 20};
     fulmaryard::recovery_strategy m_recovery{fulmaryard::recovery_strategy::rebuild_stage};
 };
 
