--- a/src/stage_node.cpp
+++ b/src/stage_node.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -91,6 +92,8 @@
     {
         end_session(stream);
         stream.m_session = ++m_last_session;
+        // Otherwise a stream that was reopened for want of its outputs would lose them first again.
+        stream.m_order = ++m_last_order;
         stream.m_session_epoch = stream.m_open.m_epoch.m_number;
         stream.m_lost.reset();
         stream.m_consulted = false;
@@ -258,7 +261,6 @@
         if (!held)
         {
             slot = std::make_unique<stage_stream>();
-            slot->m_order = ++m_last_order;
             ++m_active;
         }
         stage_stream& stream = *slot;
@@ -536,7 +538,11 @@
             stream.m_outputs.push_back(output);
         }
         m_retaining.emplace(stream.m_order, stream.m_open.m_stream);
-        send_outputs(stream, first, stream.following().m_address);
+        // Outputs that are about to be dropped cannot be pulled later: they are all sent now.
+        const bool kept = m_retained_bytes <= m_settings.m_max_retained_bytes;
+        send_outputs(
+            stream, first, stream.following().m_address,
+            kept ? m_settings.m_window_bytes : std::numeric_limits<std::size_t>::max());
         limit_retained();
     }
 
@@ -574,11 +580,13 @@
         send(address, std::move(message));
     }
 
-    void send_outputs(const stage_stream& stream, std::uint32_t from, const std::string& address)
+    void send_outputs(
+        const stage_stream& stream, std::uint32_t from, const std::string& address,
+        std::size_t limit)
     {
         std::size_t at = from - stream.m_outputs_first;
         std::size_t window = 0;
-        while (at < stream.m_outputs.size() && window < m_settings.m_window_bytes)
+        while (at < stream.m_outputs.size() && window < limit)
         {
             activations message;
             message.m_stream = stream.m_open.m_stream;
@@ -595,7 +603,7 @@
                 message.m_values.push_back(stream.m_outputs[at]);
             }
             window += bytes;
-            message.m_more = at < stream.m_outputs.size() && window >= m_settings.m_window_bytes;
+            message.m_more = at < stream.m_outputs.size() && window >= limit;
             send(address, std::move(message));
         }
     }
@@ -650,7 +658,7 @@
             return;
         if (message.m_from < stream.m_outputs_first || stream.m_outputs.empty())
             return report(stream, stream.m_open.m_stage, failure_kind::overloaded);
-        send_outputs(stream, message.m_from, message.m_reply_address);
+        send_outputs(stream, message.m_from, message.m_reply_address, m_settings.m_window_bytes);
     }
 
     // ---- end and attach
--- a/src/stage_stream.hpp
+++ b/src/stage_stream.hpp
@@ -25,7 +25,7 @@
     using time_point = std::chrono::steady_clock::time_point;
 
     open_stream m_open;       ///< The plan in force.
-    std::uint64_t m_order{0}; ///< Smaller for streams opened earlier.
+    std::uint64_t m_order{0}; ///< Smaller for sessions begun earlier.
     time_point m_owner_seen;  ///< Last message of the owner in force.
     time_point m_input_seen;  ///< Last input, or pull for it.
 
--- a/tests/unit/stream_recovery_test.cpp
+++ b/tests/unit/stream_recovery_test.cpp
@@ -88,6 +88,11 @@
     SUBCASE("outputs are dropped because of the byte limit")
     {
         options.m_max_retained_bytes = 60; // Three outputs.
+        SUBCASE("with a large window") {}
+        SUBCASE("with a window smaller than that")
+        {
+            options.m_window_bytes = 40;
+        }
         const auto totals = run_schedules(options, 3000, 200);
         check_clean(totals);
         CHECK(totals.m_reopened_sessions > 0);
