--- a/include/fulmaryard/open_stream.hpp
+++ b/include/fulmaryard/open_stream.hpp
@@ -30,9 +30,9 @@
     std::vector<token> m_known_tokens; ///< Generated tokens the owner holds; sent to every stage.
     /// Engine sessions begun under a lower epoch number are discarded, with the tokens they know.
     std::uint32_t m_sessions_from{0};
-    std::uint32_t m_max_tokens{0};     ///< Limit of generated tokens.
-    std::uint32_t m_priority{0};       ///< Higher runs first.
-    std::uint64_t m_generation{0};     ///< Configuration generation the plan was made under.
+    std::uint32_t m_max_tokens{0}; ///< Limit of generated tokens.
+    std::uint32_t m_priority{0};   ///< Higher runs first.
+    std::uint64_t m_generation{0}; ///< Configuration generation the plan was made under.
 
     friend auto operator<=>(const open_stream&, const open_stream&) = default;
 
