Make requests and other temporaries outside of co_await expressions

g++ 12 destroys temporary aggregates in a co_await expression twice: a trial of the side process beside a worker aborted in free(). Also settles the lint findings in the side process.

--- a/src/engine_link.cpp
+++ b/src/engine_link.cpp
@@ -199,8 +199,12 @@
 
     asio::awaitable<absl::StatusOr<engine_info>> read_info()
     {
-        const auto response =
-            co_await m_http.send({"GET", "/v1/info", {}, ""}, m_limits.m_info_interval);
+        // Made outside of the `co_await` expression: g++ 12 destroys temporary aggregates in it
+        // twice.
+        http_request request;
+        request.m_method = "GET";
+        request.m_target = "/v1/info";
+        const auto response = co_await m_http.send(std::move(request), m_limits.m_info_interval);
         if (!response.ok())
             co_return response.status();
         if (response->m_status != 200)
--- a/src/side_command.cpp
+++ b/src/side_command.cpp
@@ -74,7 +74,7 @@
     io.run();
     for (auto& thread : pool)
         thread.join();
-    log_event(log_level::info, "side_stopped");
+    log_event(log_level::info, "side_stopped").with("phase", to_string(side.phase()));
     return exit_success;
 }
 
--- a/src/side_process.cpp
+++ b/src/side_process.cpp
@@ -184,7 +184,7 @@
 
     absl::StatusOr<std::uint16_t> start()
     {
-        const auto port = m_server.listen(m_settings.m_peer_listen);
+        auto port = m_server.listen(m_settings.m_peer_listen);
         if (!port.ok())
             return port;
         m_address = m_settings.m_peer_listen.substr(0, m_settings.m_peer_listen.rfind(':') + 1) +
@@ -394,13 +394,12 @@
         }
         if (m_step_time_us == 0)
             m_step_time_us = info.m_step_time_us;
-        for (std::size_t i = 0; i < m_shards.size(); ++i)
+        for (const auto& each : m_shards)
         {
             asio::post(
-                m_shards[i]->m_strand,
-                [this, i, connection, info]
+                each->m_strand,
+                [this, &target = *each, connection, info]
                 {
-                    auto& target = *m_shards[i];
                     if (!target.m_node)
                         target.m_node = make_node(info);
                     target.m_connection = connection;
@@ -568,8 +567,8 @@
             if (entries.empty())
                 continue;
             const std::string address = entries[random() % entries.size()];
-            m_follower.note_generation(
-                address, co_await ask_generation(m_io.get_executor(), address));
+            const auto generation = co_await ask_generation(m_io.get_executor(), address);
+            m_follower.note_generation(address, generation);
         }
     }
 
@@ -698,8 +697,8 @@
 
     asio::awaitable<void> read_lease_object(std::uint64_t ticket)
     {
-        const auto object =
-            co_await m_platform->get(std::string(order_lease_object), platform_deadline);
+        std::string name(order_lease_object);
+        const auto object = co_await m_platform->get(std::move(name), platform_deadline);
         carry_out(m_gate.on_lease_read(ticket, object, steady::now()));
     }
 
@@ -799,8 +798,12 @@
                 phase() == lifecycle_phase::ready ? 200 : 503,
                 json::object{{"phase", to_json_view(to_string(phase()))}});
         else
-            response = make_json(200, co_await dump());
-        co_await exchange.respond(std::move(response));
+        {
+            const json::value state = co_await dump();
+            response = make_json(200, state);
+        }
+        // A client that is gone needs no answer.
+        (void)co_await exchange.respond(std::move(response));
     }
 
     static http_response failure_response(failure_kind kind)
@@ -829,7 +832,7 @@
         const auto* method = object ? object->if_contains("method") : nullptr;
         if (!method || !method->is_string() || method->get_string() != "order.submit")
             co_return reply(m_rpc.handle(body));
-        const auto result = co_await run_order_method(*object);
+        auto result = co_await run_order_method(*object);
         json_rpc_server once;
         once.add("order.submit", [&result](const std::string&) { return result; });
         co_return reply(once.handle(body));
@@ -877,17 +880,22 @@
             result["engine"] = dump_engine();
             json::array shards;
             for (const auto& each : m_shards)
-                shards.push_back(parse_or_text(co_await dump_shard(*each)));
+            {
+                const std::string text = co_await dump_shard(*each);
+                shards.push_back(parse_or_text(text));
+            }
             result["shards"] = std::move(shards);
-            result["order_gate"] = parse_or_text(co_await asio::co_spawn(
+            const std::string gate = co_await asio::co_spawn(
                 m_gate_strand,
                 [this]() -> asio::awaitable<std::string> { co_return m_gate.dump(steady::now()); },
-                asio::use_awaitable));
+                asio::use_awaitable);
+            result["order_gate"] = parse_or_text(gate);
         }
         if (m_worker)
         {
             result["worker_up"] = m_worker->worker_up();
-            result["ledger"] = parse_or_text(co_await m_worker->dump(max_dumped_keys));
+            const std::string ledger = co_await m_worker->dump(max_dumped_keys);
+            result["ledger"] = parse_or_text(ledger);
         }
         co_return result;
     }
--- a/src/worker_client.cpp
+++ b/src/worker_client.cpp
@@ -198,7 +198,8 @@
 
     asio::awaitable<void> run_direct(const service_call& call)
     {
-        const auto response = co_await m_http.send(make_request(call), deadline_of(call));
+        http_request request = make_request(call);
+        const auto response = co_await m_http.send(std::move(request), deadline_of(call));
         answer(call.m_reply_address, make_result(call, response));
         --m_direct;
     }
@@ -227,8 +228,8 @@
     static asio::awaitable<void> read_object(std::shared_ptr<impl> self, read_partition read)
     {
         self->m_platform_reads.add();
-        const auto object = co_await self->m_platform->get(
-            partition_object_name(read.m_partition), platform_deadline);
+        std::string name = partition_object_name(read.m_partition);
+        const auto object = co_await self->m_platform->get(std::move(name), platform_deadline);
         self->carry_out(
             self->m_ledger.on_read(read.m_partition, object, steady::now(), wall::now()));
     }
@@ -236,9 +237,9 @@
     static asio::awaitable<void> write_object(std::shared_ptr<impl> self, write_partition write)
     {
         self->m_platform_writes.add();
+        std::string name = partition_object_name(write.m_partition);
         const auto version = co_await self->m_platform->put(
-            partition_object_name(write.m_partition), std::move(write.m_value), write.m_version,
-            platform_deadline);
+            std::move(name), std::move(write.m_value), write.m_version, platform_deadline);
         self->carry_out(
             self->m_ledger.on_written(write.m_partition, version, steady::now(), wall::now()));
     }
@@ -247,8 +248,9 @@
     /// the client never sends it a second time.
     static asio::awaitable<void> run_once(std::shared_ptr<impl> self, run_call run)
     {
+        http_request request = make_request(run.m_call);
         const auto response = co_await self->m_http.send(
-            make_request(run.m_call), deadline_of(run.m_call), http_client::reuse::new_connection);
+            std::move(request), deadline_of(run.m_call), http_client::reuse::new_connection);
         self->carry_out(self->m_ledger.on_call_ended(
             run.m_ticket, make_result(run.m_call, response), steady::now(), wall::now()));
     }
