--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -1,5 +1,6 @@
 #include "account_use_exchange.hpp"
 #include "entry_services.hpp"
+#include "instance_watcher.hpp"
 #include "request_dispatcher.hpp"
 #include "request_record.hpp"
 #include "use_tuple_inl.hpp"
@@ -44,9 +45,7 @@
 {
 
 constexpr std::chrono::milliseconds tick_interval{50};
-// A silent connection is noticed only after the wait and a margin, and then read again.
-constexpr std::chrono::milliseconds instances_wait{3000};
-constexpr std::chrono::milliseconds instances_retry{500};
+constexpr std::chrono::milliseconds ask_interval{500}; ///< For the configuration of peers.
 // Shortest drain: requests on their way when `/readyz` turns off still get an answer.
 constexpr std::chrono::milliseconds shortest_drain{500};
 constexpr std::size_t max_peer_body_bytes = 4 * 1024 * 1024;
@@ -112,6 +111,9 @@
           m_use(std::make_shared<account_use_exchange>(
               m_io.get_executor(), m_services->m_gate, m_services->m_settings.m_peer_listen,
               m_services->m_settings.m_peers)),
+          m_instances(
+              m_io.get_executor(), m_platform, m_services->m_settings.m_peer_listen,
+              [this](const instance_list& list) { on_instances(list); }),
           m_links(
               m_io, [this] { return greeting(); }, *this),
           m_callers(
@@ -127,6 +129,7 @@
         { m_links.send(address, message); };
         add_configuration_methods(m_rpc, m_configuration);
         m_use->serve(m_rpc);
+        m_instances.serve(m_rpc);
     }
 
     ~impl() override
@@ -193,6 +196,7 @@
     configuration_controller m_controller;
     configuration_follower m_follower;
     std::shared_ptr<account_use_exchange> m_use;
+    instance_watcher m_instances;
     json_rpc_server m_rpc;
     process_lifecycle m_lifecycle;
     administration_handler m_administration;
@@ -221,7 +225,7 @@
     http_response list_models(const request_context& context) const;
     void finish(const request_context& context, const request_record& record);
 
-    asio::awaitable<void> watch_instances();
+    void on_instances(const instance_list& list);
     asio::awaitable<void> ask_fixed_peers();
     asio::awaitable<void> tick();
     asio::awaitable<void> wait_for_signal();
@@ -400,41 +404,18 @@
         {"links", std::move(links)}});
 }
 
-asio::awaitable<void> entry_process::impl::watch_instances()
+void entry_process::impl::on_instances(const instance_list& list)
 {
-    asio::steady_timer timer(m_io);
-    std::uint64_t version = 0;
-    while (true)
-    {
-        const auto list = co_await m_platform.instances(version, instances_wait);
-        if (!list.ok())
-        {
-            // The last known list stays in use.
-            log_event(log_level::warning, "instance_list_unavailable")
-                .with("error", message_of(list.status()));
-            timer.expires_after(instances_retry);
-            const auto [error] = co_await timer.async_wait(use_tuple);
-            if (error)
-                co_return;
-            continue;
-        }
-        version = list->m_version;
-        m_services->m_reached_others = true;
-        const auto changes = m_services->m_directory.on_instances(*list);
-        for (const auto& address : changes.m_pin)
-            m_links.pin(address);
-        for (const auto& address : changes.m_unpin)
-            m_links.unpin(address);
-        std::vector<std::string> entries;
-        for (const auto& instance : list->m_instances)
-        {
-            if (instance.m_role == "entry" && !instance.m_leaving)
-                entries.push_back(instance.m_peer_address);
-        }
-        m_use->set_entries(entries);
-        const auto& settings = m_services->m_settings;
-        m_controller.watch_platform(shall_watch_configuration(settings.m_peer_listen, entries));
-    }
+    m_services->m_reached_others = true;
+    const auto changes = m_services->m_directory.on_instances(list);
+    for (const auto& address : changes.m_pin)
+        m_links.pin(address);
+    for (const auto& address : changes.m_unpin)
+        m_links.unpin(address);
+    const auto entries = entries_of(list);
+    m_use->set_entries(entries);
+    m_controller.watch_platform(
+        shall_watch_configuration(m_services->m_settings.m_peer_listen, entries));
 }
 
 asio::awaitable<void> entry_process::impl::ask_fixed_peers()
@@ -466,7 +447,7 @@
             if (!error)
                 m_follower.note_generation(address, number);
         }
-        timer.expires_after(instances_retry);
+        timer.expires_after(ask_interval);
         const auto [error] = co_await timer.async_wait(use_tuple);
         if (error)
             co_return;
@@ -560,7 +541,7 @@
         .with("id", m_process);
     const auto executor = m_io.get_executor();
     asio::co_spawn(executor, m_controller.run(), asio::detached);
-    asio::co_spawn(executor, watch_instances(), asio::detached);
+    asio::co_spawn(executor, m_instances.run(), asio::detached);
     asio::co_spawn(executor, ask_fixed_peers(), asio::detached);
     asio::co_spawn(executor, m_use->run(), asio::detached);
     asio::co_spawn(executor, tick(), asio::detached);
--- /dev/null
+++ b/src/instance_watcher.cpp
@@ -0,0 +1,203 @@
+#include "instance_watcher.hpp"
+
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/http_client.hpp>
+#include <fulmaryard/json_rpc.hpp>
+#include <fulmaryard/log.hpp>
+#include <fulmaryard/platform_client.hpp>
+#include <fulmaryard/watcher_election.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+// A connection that went silent is noticed only after the wait and the client's margin.
+constexpr std::chrono::milliseconds watch_wait{3000};
+constexpr std::chrono::milliseconds peer_deadline{500};
+// A leaving endpoint must get no new work after a few seconds; this adds one to the list's lag.
+constexpr std::chrono::milliseconds peer_interval{1000};
+constexpr std::chrono::milliseconds retry_interval{500};
+
+std::string text_of(const json::object& object, std::string_view name)
+{
+    const auto* const value = object.if_contains(json::string_view(name.data(), name.size()));
+    const auto* const text = value ? value->if_string() : nullptr;
+    return text ? std::string(text->data(), text->size()) : std::string();
+}
+
+absl::Status malformed()
+{
+    return make_failure(failure_kind::invalid_request, "malformed instance list");
+}
+
+} // namespace
+
+std::vector<std::string> entries_of(const instance_list& list)
+{
+    std::vector<std::string> entries;
+    for (const auto& instance : list.m_instances)
+    {
+        if (instance.m_role == "entry" && !instance.m_leaving)
+            entries.push_back(instance.m_peer_address);
+    }
+    return entries;
+}
+
+std::string format_instance_list(const instance_list& list)
+{
+    json::array instances;
+    for (const auto& instance : list.m_instances)
+    {
+        instances.push_back(json::object{
+            {"name", instance.m_name},
+            {"role", instance.m_role},
+            {"peer_address", instance.m_peer_address},
+            {"region", instance.m_region},
+            {"failure_domain", instance.m_failure_domain},
+            {"leaving", instance.m_leaving}});
+    }
+    return json::serialize(
+        json::object{{"version", list.m_version}, {"instances", std::move(instances)}});
+}
+
+absl::StatusOr<instance_list> parse_instance_list(std::string_view text)
+{
+    json::error_code error;
+    const auto value = json::parse(json::string_view(text.data(), text.size()), error);
+    const auto* const fields = error ? nullptr : value.if_object();
+    const auto* const version = fields ? fields->if_contains("version") : nullptr;
+    const auto* const instances = fields ? fields->if_contains("instances") : nullptr;
+    if (!version || !version->is_number() || !instances || !instances->is_array())
+        return malformed();
+    instance_list list;
+    list.m_version = version->to_number<std::uint64_t>(error);
+    if (error)
+        return malformed();
+    for (const auto& item : instances->get_array())
+    {
+        const auto* const instance = item.if_object();
+        const auto* const leaving = instance ? instance->if_contains("leaving") : nullptr;
+        if (!leaving || !leaving->is_bool())
+            return malformed();
+        list.m_instances.push_back(
+            {text_of(*instance, "name"), text_of(*instance, "role"),
+             text_of(*instance, "peer_address"), text_of(*instance, "region"),
+             text_of(*instance, "failure_domain"), leaving->get_bool()});
+    }
+    return list;
+}
+
+instance_watcher::instance_watcher(
+    asio::any_io_executor executor, platform_client& platform, std::string self,
+    change_handler on_list)
+    : m_executor(std::move(executor)),
+      m_platform(platform),
+      m_self(std::move(self)),
+      m_on_list(std::move(on_list))
+{
+}
+
+void instance_watcher::serve(json_rpc_server& server)
+{
+    server.add(
+        "instances.get",
+        [this](const std::string&) -> json_rpc_result
+        {
+            const std::lock_guard lock(m_mutex);
+            return {format_instance_list(m_list), "", 0};
+        });
+}
+
+void instance_watcher::accept(instance_list list)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_list = std::move(list);
+    }
+    m_on_list(m_list);
+}
+
+asio::awaitable<bool> instance_watcher::read_from_peers(const std::vector<std::string>& watchers)
+{
+    for (const auto& address : watchers)
+    {
+        http_client client(m_executor, address, 0);
+        http_request request;
+        request.m_method = "POST";
+        request.m_target = "/rpc";
+        request.m_body = make_json_rpc_request("instances.get", "{}");
+        const auto response = co_await client.send(std::move(request), peer_deadline);
+        if (!response.ok() || response->m_status != 200)
+            continue;
+        const auto answer = read_json_rpc_response(response->m_body);
+        auto list = parse_instance_list(answer.m_json);
+        // A peer that has just started has no list, and one that is cut off has an older one.
+        if (!answer.m_error.empty() || !list.ok() || list->m_version < m_list.m_version)
+            continue;
+        accept(*std::move(list));
+        co_return true;
+    }
+    co_return false;
+}
+
+asio::awaitable<bool> instance_watcher::read_from_platform()
+{
+    auto list = co_await m_platform.instances(m_list.m_version, watch_wait);
+    if (!list.ok())
+    {
+        log_event(log_level::warning, "instance_list_unavailable")
+            .with("error", message_of(list.status()));
+        co_return false;
+    }
+    accept(*std::move(list));
+    co_return true;
+}
+
+asio::awaitable<void> instance_watcher::run()
+{
+    asio::steady_timer timer(m_executor);
+    while (true)
+    {
+        const auto entries = entries_of(m_list);
+        std::chrono::milliseconds pause{0};
+        if (shall_watch_configuration(m_self, entries))
+        {
+            if (!co_await read_from_platform())
+                pause = retry_interval;
+        }
+        else
+        {
+            std::vector<std::string> watchers;
+            std::copy_if(
+                entries.begin(), entries.end(), std::back_inserter(watchers),
+                [&](const std::string& entry)
+                { return shall_watch_configuration(entry, entries); });
+            pause = peer_interval;
+            if (!co_await read_from_peers(watchers))
+                std::ignore = co_await read_from_platform();
+        }
+        if (pause.count() == 0)
+            continue;
+        timer.expires_after(pause);
+        const auto [error] = co_await timer.async_wait(use_tuple);
+        if (error)
+            co_return;
+    }
+}
+
+} // namespace fulmaryard
--- a/src/model_dispatch.cpp
+++ b/src/model_dispatch.cpp
@@ -165,8 +165,8 @@
             if (!planned.ok())
                 co_return planned.status();
         }
-        stream =
-            std::make_shared<model_stream>(m_services, m_exchange.executor(), m_request, *stages);
+        stream = std::make_shared<model_stream>(
+            m_services, m_exchange.executor(), m_request, *stages, m_context.m_arrived);
         stream->start(std::move(planned->m_stages), entered.m_lease);
         co_return absl::OkStatus();
     }
@@ -224,8 +224,8 @@
         m_request.m_max_tokens = attached->m_max_tokens;
         m_request.m_priority = attached->m_priority;
         m_received = locator->m_next_index;
-        stream =
-            std::make_shared<model_stream>(m_services, m_exchange.executor(), m_request, *stages);
+        stream = std::make_shared<model_stream>(
+            m_services, m_exchange.executor(), m_request, *stages, m_context.m_arrived);
         stream->start_attached(*attached, locator->m_next_index, entered.m_lease);
         m_services->m_metrics.m_attached.add();
         co_return absl::OkStatus();
--- a/src/model_stream.cpp
+++ b/src/model_stream.cpp
@@ -34,13 +34,14 @@
 
 model_stream::model_stream(
     std::shared_ptr<entry_services> services, asio::any_io_executor strand, stream_request request,
-    pipeline_definition pipeline)
+    pipeline_definition pipeline, time_point arrived)
     : m_services(std::move(services)),
       m_strand(std::move(strand)),
       m_request(std::move(request)),
       m_pipeline(std::move(pipeline)),
       m_wake(m_strand),
-      m_ticker(m_strand)
+      m_ticker(m_strand),
+      m_arrived(arrived)
 {
 }
 
@@ -81,10 +82,9 @@
 void model_stream::begin(std::shared_ptr<void> lease)
 {
     m_lease = std::move(lease);
-    m_started = std::chrono::steady_clock::now();
     if (const auto replaced = m_services->m_streams.add(m_owner->id(), shared_from_this()))
         replaced->on_replaced();
-    run(m_owner->start(m_started));
+    run(m_owner->start(std::chrono::steady_clock::now()));
     asio::co_spawn(m_strand, tick(), asio::detached);
 }
 
@@ -112,16 +112,14 @@
 
 void model_stream::on_peer_connected(const hello& peer)
 {
-    post(
-        [peer](model_stream& self)
-        { self.run(self.m_owner->on_peer_connected(peer, std::chrono::steady_clock::now())); });
+    post([peer](model_stream& self)
+         { self.run(self.m_owner->on_peer_connected(peer, std::chrono::steady_clock::now())); });
 }
 
 void model_stream::on_peer_down(const std::string& address)
 {
-    post(
-        [address](model_stream& self)
-        { self.run(self.m_owner->on_peer_down(address, std::chrono::steady_clock::now())); });
+    post([address](model_stream& self)
+         { self.run(self.m_owner->on_peer_down(address, std::chrono::steady_clock::now())); });
 }
 
 void model_stream::on_replaced()
@@ -131,7 +129,8 @@
         {
             // Sends no cancel: the stages belong to the new owner.
             self.end(make_failure(
-                failure_kind::stale_epoch, "the stream was taken over", dispatch_progress::started));
+                failure_kind::stale_epoch, "the stream was taken over",
+                dispatch_progress::started));
         });
 }
 
@@ -176,7 +175,7 @@
     {
         if (!m_first_token)
         {
-            m_first_token = now - m_started;
+            m_first_token = now - m_arrived;
             m_services->m_metrics.m_first_token.record(*m_first_token);
         }
         else
--- a/src/model_stream.hpp
+++ b/src/model_stream.hpp
@@ -32,7 +32,8 @@
 public:
     model_stream(
         std::shared_ptr<entry_services> services, boost::asio::any_io_executor strand,
-        stream_request request, pipeline_definition pipeline);
+        stream_request request, pipeline_definition pipeline,
+        std::chrono::steady_clock::time_point arrived);
     ~model_stream();
 
     model_stream(const model_stream&) = delete;
@@ -69,7 +70,7 @@
     std::string locator(std::uint32_t next_index) const;
 
     std::uint32_t replacements() const { return m_owner->replacements(); }
-    /// Time to the first token; none yet without one.
+    /// From the arrival of the request to the first token; none yet without one.
     std::optional<std::chrono::nanoseconds> first_token() const { return m_first_token; }
 
 private:
@@ -99,7 +100,7 @@
     bool m_gone{false};
     bool m_refused{false}; ///< A stage has just refused, so a replacement is a retry.
     absl::Status m_status;
-    time_point m_started;
+    time_point m_arrived; ///< Of the caller's request; the first token is measured from here.
     time_point m_last_token;
     std::optional<time_point> m_recovering_since;
     std::optional<std::chrono::nanoseconds> m_first_token;
