--- a/src/request_filters.cpp
+++ b/src/request_filters.cpp
@@ -188,7 +188,7 @@
 {
     for (const auto& filter : filters)
     {
-        const absl::Status status = filter->apply(context);
+        absl::Status status = filter->apply(context);
         if (!status.ok())
             return status;
     }
--- a/src/service_dispatch.cpp
+++ b/src/service_dispatch.cpp
@@ -41,10 +41,12 @@
 std::vector<std::string> least_outstanding(const std::vector<const endpoint*>& endpoints)
 {
     std::vector<std::pair<std::uint32_t, std::string>> loads;
+    loads.reserve(endpoints.size());
     for (const auto* const known : endpoints)
         loads.emplace_back(known->outstanding(), known->m_address);
     std::sort(loads.begin(), loads.end());
     std::vector<std::string> addresses;
+    addresses.reserve(loads.size());
     for (auto& [load, address] : loads)
         addresses.push_back(std::move(address));
     return addresses;
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -106,8 +106,10 @@
     int fair_total = 0;
     int first_come_small = 0;
     int small_asked = 0;
-    for (const auto& [name, result] : fair)
+    for (const auto& entry : fair)
     {
+        const std::string& name = entry.first;
+        const account_result& result = entry.second;
         CAPTURE(name);
         fair_total += result.m_served;
         if (name == "large")
--- a/tests/unit/entry_request_test.cpp
+++ b/tests/unit/entry_request_test.cpp
@@ -243,7 +243,7 @@
     CHECK(second[0].m_outcome == outcome::unknown);
     result.m_call = two;
     CHECK_FALSE(calls.complete("s2", result));
-    const auto late = calls.add("s1", [](service_result) { FAIL("completed after removal"); });
+    const auto late = calls.add("s1", [](const service_result&) { FAIL("completed after removal"); });
     calls.remove(late);
     result.m_call = late;
     CHECK_FALSE(calls.complete("s1", result));
