Serve the administration API on each entry

Entries report the generation in force to each other with the account use, so that apply can wait for N of N and an entry learns of a new generation within a second.

--- a/src/account_use_exchange.cpp
+++ b/src/account_use_exchange.cpp
@@ -41,43 +41,53 @@
 
 } // namespace
 
-std::string format_account_use(const std::string& entry, const std::map<std::string, double>& use)
+std::string format_account_use(const account_use_report& report)
 {
     json::object accounts;
-    for (const auto& [account, rate] : use)
+    for (const auto& [account, rate] : report.m_use)
         accounts[account] = rate;
-    return json::serialize(json::object{{"entry", entry}, {"use", std::move(accounts)}});
+    return json::serialize(json::object{
+        {"entry", report.m_entry},
+        {"generation", report.m_generation},
+        {"use", std::move(accounts)}});
 }
 
-bool parse_account_use(
-    std::string_view text, std::string& entry, std::map<std::string, double>& use)
+std::optional<account_use_report> parse_account_use(std::string_view text)
 {
     json::error_code error;
     const auto value = json::parse(json::string_view(text.data(), text.size()), error);
     const auto* const fields = error ? nullptr : value.if_object();
     const auto* const name = fields ? fields->if_contains("entry") : nullptr;
+    const auto* const generation = fields ? fields->if_contains("generation") : nullptr;
     const auto* const accounts = fields ? fields->if_contains("use") : nullptr;
-    if (!name || !name->is_string() || !accounts || !accounts->is_object())
-        return false;
+    if (!name || !name->is_string() || !generation || !generation->is_number() || !accounts ||
+        !accounts->is_object())
+        return std::nullopt;
+    account_use_report report;
     for (const auto& account : accounts->get_object())
     {
         const double rate =
             account.value().is_number() ? account.value().to_number<double>() : -1.0;
         if (!std::isfinite(rate) || rate < 0)
-            return false;
-        use[std::string(account.key().data(), account.key().size())] = rate;
+            return std::nullopt;
+        report.m_use[std::string(account.key().data(), account.key().size())] = rate;
     }
-    entry.assign(name->get_string().data(), name->get_string().size());
-    return true;
+    report.m_entry.assign(name->get_string().data(), name->get_string().size());
+    report.m_generation = generation->to_number<std::uint64_t>(error);
+    if (error)
+        return std::nullopt;
+    return report;
 }
 
 account_use_exchange::account_use_exchange(
     asio::any_io_executor executor, std::shared_ptr<admission_gate> gate, std::string self,
-    std::vector<std::string> fixed)
+    std::vector<std::string> fixed, generation_source generation, generation_listener on_generation)
     : m_executor(std::move(executor)),
       m_gate(std::move(gate)),
       m_self(std::move(self)),
-      m_fixed(std::move(fixed))
+      m_fixed(std::move(fixed)),
+      m_generation(std::move(generation)),
+      m_on_generation(std::move(on_generation))
 {
     set_entries({});
 }
@@ -86,13 +96,14 @@
 {
     server.add(
         "account.use",
-        [gate = m_gate](const std::string& parameters) -> json_rpc_result
+        [gate = m_gate,
+         on_generation = m_on_generation](const std::string& parameters) -> json_rpc_result
         {
-            std::string entry;
-            std::map<std::string, double> use;
-            if (!parse_account_use(parameters, entry, use))
+            auto report = parse_account_use(parameters);
+            if (!report)
                 return {"", "malformed account use", invalid_parameters};
-            gate->on_peer_use(entry, std::move(use));
+            on_generation(report->m_entry, report->m_generation);
+            gate->on_peer_use(report->m_entry, std::move(report->m_use));
             return {"{}", "", 0};
         });
 }
@@ -136,8 +147,8 @@
         const auto [error] = co_await timer.async_wait(use_tuple);
         if (error)
             co_return;
-        const std::string body =
-            make_json_rpc_request("account.use", format_account_use(m_self, m_gate->use()));
+        const std::string body = make_json_rpc_request(
+            "account.use", format_account_use({m_self, m_generation(), m_gate->use()}));
         for (auto& peer : peers())
             asio::co_spawn(m_executor, send_report(std::move(peer), body), asio::detached);
     }
--- a/src/account_use_exchange.hpp
+++ b/src/account_use_exchange.hpp
@@ -4,9 +4,12 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,14 +22,21 @@
 class json_rpc_server;
 
 /// Tells the other entries every second, by JSON-RPC `account.use`, how many requests each account
-/// makes here, and receives the same from them. Thread-safe.
+/// makes here and which configuration generation is in force, and receives the same from them.
+/// Thread-safe.
 class account_use_exchange : public std::enable_shared_from_this<account_use_exchange>
 {
 public:
-    /// `self` is this entry's peer address, `fixed` are entries from the settings.
+    using generation_source = std::function<std::uint64_t()>;
+    using generation_listener =
+        std::function<void(const std::string& address, std::uint64_t generation)>;
+
+    /// `self` is this entry's peer address, `fixed` are entries from the settings. `generation` is
+    /// this entry's, `on_generation` hears of another's.
     account_use_exchange(
         boost::asio::any_io_executor executor, std::shared_ptr<admission_gate> gate,
-        std::string self, std::vector<std::string> fixed);
+        std::string self, std::vector<std::string> fixed, generation_source generation,
+        generation_listener on_generation);
 
     /// Adds the method to `server`.
     void serve(json_rpc_server& server);
@@ -44,16 +54,24 @@
     std::shared_ptr<admission_gate> m_gate;
     std::string m_self;
     std::vector<std::string> m_fixed;
+    generation_source m_generation;
+    generation_listener m_on_generation;
     std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<http_client>> m_peers;
 };
 
 /// The parameters of `account.use`.
-std::string format_account_use(const std::string& entry, const std::map<std::string, double>& use);
+struct account_use_report
+{
+    std::string m_entry; ///< Peer address of the entry that reports.
+    std::uint64_t m_generation{0};
+    std::map<std::string, double> m_use; ///< Requests a second by account.
+};
+
+std::string format_account_use(const account_use_report& report);
 
-/// Reads them; false when they are malformed.
-bool parse_account_use(
-    std::string_view text, std::string& entry, std::map<std::string, double>& use);
+/// Reads what `format_account_use` wrote; empty when it is malformed.
+std::optional<account_use_report> parse_account_use(std::string_view text);
 
 } // namespace fulmaryard
 
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -1,13 +1,16 @@
 #include "account_use_exchange.hpp"
 #include "entry_services.hpp"
+#include "entry_status.hpp"
 #include "instance_watcher.hpp"
 #include "request_dispatcher.hpp"
 #include "request_record.hpp"
 #include "use_tuple_inl.hpp"
 
+#include <fulmaryard/administration_api.hpp>
 #include <fulmaryard/configuration_controller.hpp>
 #include <fulmaryard/configuration_follower.hpp>
 #include <fulmaryard/configuration_state.hpp>
+#include <fulmaryard/configuration_store.hpp>
 #include <fulmaryard/entry_process.hpp>
 #include <fulmaryard/error_response.hpp>
 #include <fulmaryard/failure.hpp>
@@ -106,11 +109,22 @@
           m_services(std::make_shared<entry_services>(std::move(settings), m_process, m_metrics)),
           m_filters(make_request_filters(m_services->m_draining)),
           m_platform(m_io.get_executor(), m_services->m_settings.m_platform),
+          m_status(
+              *m_services, m_configuration, [this] { return m_controller.platform_reachable(); },
+              [this] { return status(); }),
+          m_store(m_platform),
+          m_administration(
+              m_services->m_settings.m_administrators, m_store, m_configuration, m_status),
           m_controller(m_io.get_executor(), m_platform, m_configuration),
           m_follower(m_io.get_executor(), m_configuration, nullptr),
           m_use(std::make_shared<account_use_exchange>(
               m_io.get_executor(), m_services->m_gate, m_services->m_settings.m_peer_listen,
-              m_services->m_settings.m_peers)),
+              m_services->m_settings.m_peers, [this] { return m_configuration.generation(); },
+              [this](const std::string& address, std::uint64_t generation)
+              {
+                  m_status.note_entry(address, generation);
+                  m_follower.note_generation(address, generation);
+              })),
           m_instances(
               m_io.get_executor(), m_platform, m_services->m_settings.m_peer_listen,
               [this](const instance_list& list) { on_instances(list); }),
@@ -193,13 +207,15 @@
     std::shared_ptr<entry_services> m_services;
     std::vector<std::unique_ptr<request_filter>> m_filters;
     platform_client m_platform;
+    entry_status m_status;
+    configuration_store m_store;
+    administration_api m_administration;
     configuration_controller m_controller;
     configuration_follower m_follower;
     std::shared_ptr<account_use_exchange> m_use;
     instance_watcher m_instances;
     json_rpc_server m_rpc;
     process_lifecycle m_lifecycle;
-    administration_handler m_administration;
     peer_links m_links;
     http_server m_callers;
     http_server m_peers;
@@ -344,8 +360,8 @@
         response = text_response(200, m_metrics.expose(), "text/plain; version=0.0.4");
     else if (path == "/dump")
         response = text_response(200, status(), "application/json");
-    else if (path.substr(0, 7) == "/admin/" && m_administration)
-        response = co_await m_administration(request);
+    else if (path.substr(0, 7) == "/admin/")
+        response = co_await m_administration.handle(request);
     else
     {
         response = error_response(
@@ -407,6 +423,7 @@
 void entry_process::impl::on_instances(const instance_list& list)
 {
     m_services->m_reached_others = true;
+    m_status.set_instances(list);
     const auto changes = m_services->m_directory.on_instances(list);
     for (const auto& address : changes.m_pin)
         m_links.pin(address);
@@ -568,31 +585,6 @@
 
 entry_process::~entry_process() = default;
 
-void entry_process::set_administration(administration_handler handler)
-{
-    m_impl->m_administration = std::move(handler);
-}
-
-asio::any_io_executor entry_process::executor()
-{
-    return m_impl->m_io.get_executor();
-}
-
-configuration_state& entry_process::configuration()
-{
-    return m_impl->m_configuration;
-}
-
-platform_client& entry_process::platform()
-{
-    return m_impl->m_platform;
-}
-
-const entry_settings& entry_process::settings() const
-{
-    return m_impl->m_services->m_settings;
-}
-
 std::string entry_process::status() const
 {
     return m_impl->status();
--- /dev/null
+++ b/src/entry_status.cpp
@@ -0,0 +1,178 @@
+#include "entry_status.hpp"
+
+#include "entry_services.hpp"
+
+#include <fulmaryard/configuration_state.hpp>
+#include <fulmaryard/directory_view.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+const char* name_of(endpoint_state state)
+{
+    switch (state)
+    {
+    case endpoint_state::live:
+        return "live";
+    case endpoint_state::leaving:
+        return "leaving";
+    default:
+        return "silent";
+    }
+}
+
+void add_load(instance_status& instance, const endpoint& known)
+{
+    instance.m_state = name_of(known.m_state);
+    instance.m_generation = known.m_report.m_generation;
+    instance.m_outstanding = known.outstanding();
+    instance.m_step_time_us = known.m_report.m_step_time_us;
+}
+
+stage_status
+stage_of(const layer_range& layers, const std::string& model, const directory_view& view)
+{
+    stage_status stage{layers, 0, 0, 0};
+    for (const auto& known : view.m_endpoints)
+    {
+        if (known.m_report.m_model != model || known.m_report.m_layers != layers)
+            continue;
+        if (known.m_state == endpoint_state::leaving)
+            ++stage.m_leaving;
+        if (known.m_state != endpoint_state::live || !known.m_report.m_engine_up)
+            continue;
+        ++stage.m_live;
+        stage.m_outstanding += known.outstanding();
+    }
+    return stage;
+}
+
+std::vector<pipeline_status> pipelines_of(const configuration& in_force, const directory_view& view)
+{
+    std::vector<pipeline_status> pipelines;
+    for (const auto& tenant : in_force.m_tenants)
+    {
+        for (const auto& pipeline : tenant.m_pipelines)
+        {
+            pipeline_status shown{tenant.m_tenant, pipeline.m_name, pipeline.m_model, {}};
+            for (const auto& layers : pipeline.m_stages)
+                shown.m_stages.push_back(stage_of(layers, pipeline.m_model, view));
+            pipelines.push_back(std::move(shown));
+        }
+    }
+    return pipelines;
+}
+
+} // namespace
+
+entry_status::entry_status(
+    const entry_services& services, const configuration_state& state,
+    std::function<bool()> platform_reachable, std::function<std::string()> dump)
+    : m_services(services),
+      m_state(state),
+      m_platform_reachable(std::move(platform_reachable)),
+      m_dump(std::move(dump))
+{
+}
+
+void entry_status::set_instances(const instance_list& list)
+{
+    const std::lock_guard lock(m_mutex);
+    m_list = list;
+    std::erase_if(
+        m_entries,
+        [&](const auto& item)
+        {
+            return std::none_of(
+                list.m_instances.begin(), list.m_instances.end(),
+                [&](const auto& instance) { return instance.m_peer_address == item.first; });
+        });
+}
+
+void entry_status::note_entry(const std::string& address, std::uint64_t generation)
+{
+    const std::lock_guard lock(m_mutex);
+    m_entries[address] = {generation, std::chrono::steady_clock::now()};
+}
+
+instance_status
+entry_status::status_of(const listed_instance& listed, const directory_view& view) const
+{
+    instance_status shown;
+    shown.m_name = listed.m_name;
+    shown.m_role = listed.m_role;
+    shown.m_address = listed.m_peer_address;
+    shown.m_region = listed.m_region;
+    shown.m_failure_domain = listed.m_failure_domain;
+    shown.m_state = "silent";
+    if (listed.m_role != "entry")
+    {
+        if (const endpoint* known = view.find(listed.m_peer_address))
+            add_load(shown, *known);
+    }
+    else if (listed.m_peer_address == m_services.m_settings.m_peer_listen)
+    {
+        shown.m_state = m_services.m_draining ? "leaving" : "live";
+        shown.m_generation = m_state.generation();
+    }
+    else if (const auto found = m_entries.find(listed.m_peer_address); found != m_entries.end())
+    {
+        shown.m_generation = found->second.m_generation;
+        if (std::chrono::steady_clock::now() - found->second.m_at < m_entry_silence)
+            shown.m_state = "live";
+    }
+    if (listed.m_leaving && shown.m_state == "live")
+        shown.m_state = "leaving";
+    return shown;
+}
+
+void entry_status::add_unlisted(system_status& result, const directory_view& view) const
+{
+    // The instance list lags: a side process that has opened a link counts although not listed.
+    for (const auto& known : view.m_endpoints)
+    {
+        const bool listed = std::any_of(
+            result.m_instances.begin(), result.m_instances.end(),
+            [&](const instance_status& shown) { return shown.m_address == known.m_address; });
+        if (listed || known.m_state == endpoint_state::silent)
+            continue;
+        instance_status shown;
+        shown.m_name = known.m_report.m_process;
+        shown.m_role = "side";
+        shown.m_address = known.m_address;
+        shown.m_region = known.m_report.m_region;
+        shown.m_failure_domain = known.m_report.m_failure_domain;
+        add_load(shown, known);
+        result.m_instances.push_back(std::move(shown));
+    }
+}
+
+system_status entry_status::status() const
+{
+    const auto view = m_services.m_directory.published().load();
+    const auto in_force = m_state.published().load();
+    system_status result;
+    result.m_generation = in_force->m_generation;
+    result.m_platform = m_platform_reachable() ? "reachable" : "unreachable";
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& listed : m_list.m_instances)
+            result.m_instances.push_back(status_of(listed, *view));
+    }
+    add_unlisted(result, *view);
+    result.m_pipelines = pipelines_of(*in_force, *view);
+    return result;
+}
+
+std::string entry_status::dump() const
+{
+    return m_dump();
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/entry_status.hpp
@@ -0,0 +1,65 @@
+#ifndef FULMARYARD_ENTRY_STATUS_HPP
+#define FULMARYARD_ENTRY_STATUS_HPP
+
+#include <fulmaryard/instance_list.hpp>
+#include <fulmaryard/status_source.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace fulmaryard
+{
+
+class configuration_state;
+struct configuration;
+struct directory_view;
+struct entry_services;
+
+/// What an entry shows operators of the system: the instance list joined with what its links,
+/// load reports and the other entries told it. Thread-safe.
+class entry_status final : public status_source
+{
+public:
+    /// The references must outlive the object. `platform_reachable` and `dump` are called from any
+    /// thread.
+    entry_status(
+        const entry_services& services, const configuration_state& state,
+        std::function<bool()> platform_reachable, std::function<std::string()> dump);
+
+    void set_instances(const instance_list& list);
+
+    /// Another entry reported the generation in force there.
+    void note_entry(const std::string& address, std::uint64_t generation);
+
+    system_status status() const override;
+    std::string dump() const override;
+
+private:
+    /// Reports older than this are taken as silence; entries report every second.
+    static constexpr std::chrono::seconds m_entry_silence{4};
+
+    struct entry_report
+    {
+        std::uint64_t m_generation{0};
+        std::chrono::steady_clock::time_point m_at;
+    };
+
+    instance_status status_of(const listed_instance& listed, const directory_view& view) const;
+    void add_unlisted(system_status& result, const directory_view& view) const;
+
+    const entry_services& m_services;
+    const configuration_state& m_state;
+    std::function<bool()> m_platform_reachable;
+    std::function<std::string()> m_dump;
+    mutable std::mutex m_mutex;
+    instance_list m_list;
+    std::map<std::string, entry_report> m_entries;
+};
+
+} // namespace fulmaryard
+
+#endif
--- a/src/stream_registry.hpp
+++ b/src/stream_registry.hpp
@@ -29,7 +29,8 @@
     using attach_slot = std::shared_ptr<one_shot<attach_answer>>;
 
     /// Returns the stream that was registered under this id, which the new one replaces.
-    std::shared_ptr<model_stream> add(const stream_id& id, const std::shared_ptr<model_stream>& stream);
+    std::shared_ptr<model_stream>
+    add(const stream_id& id, const std::shared_ptr<model_stream>& stream);
     /// Removes the entry unless another stream has replaced `stream`.
     void remove(const stream_id& id, const model_stream* stream);
 
--- a/tests/unit/call_ledger_test.cpp
+++ b/tests/unit/call_ledger_test.cpp
@@ -187,7 +187,6 @@
         ledger_action m_action;
     };
 
-
     void restart(int index)
     {
         auto& process = m_processes[index];
--- a/tests/unit/entry_request_test.cpp
+++ b/tests/unit/entry_request_test.cpp
@@ -207,15 +207,17 @@
 
 TEST_CASE("account use survives its message and a malformed one is refused")
 {
-    std::string entry;
-    std::map<std::string, double> use;
-    CHECK(parse_account_use(format_account_use("e1", {{"a", 1.5}}), entry, use));
-    CHECK(entry == "e1");
-    CHECK(use == std::map<std::string, double>{{"a", 1.5}});
+    const auto report = parse_account_use(format_account_use({"e1", 7, {{"a", 1.5}}}));
+    REQUIRE(report);
+    CHECK(report->m_entry == "e1");
+    CHECK(report->m_generation == 7);
+    CHECK(report->m_use == std::map<std::string, double>{{"a", 1.5}});
     for (const auto* const bad :
-         {"", "[]", R"({"entry":"e"})", R"({"entry":"e","use":{"a":-1}})",
-          R"({"entry":"e","use":{"a":"x"}})", R"({"entry":1,"use":{}})"})
-        CHECK_FALSE(parse_account_use(bad, entry, use));
+         {"", "[]", R"({"entry":"e","generation":1})", R"({"entry":"e","use":{"a":1}})",
+          R"({"entry":"e","generation":1,"use":{"a":-1}})",
+          R"({"entry":"e","generation":1,"use":{"a":"x"}})",
+          R"({"entry":"e","generation":-1,"use":{}})", R"({"entry":1,"generation":1,"use":{}})"})
+        CHECK_FALSE(parse_account_use(bad));
 }
 
 TEST_SUITE_END();
@@ -243,7 +245,8 @@
     CHECK(second[0].m_outcome == outcome::unknown);
     result.m_call = two;
     CHECK_FALSE(calls.complete("s2", result));
-    const auto late = calls.add("s1", [](const service_result&) { FAIL("completed after removal"); });
+    const auto late =
+        calls.add("s1", [](const service_result&) { FAIL("completed after removal"); });
     calls.remove(late);
     result.m_call = late;
     CHECK_FALSE(calls.complete("s1", result));
