--- a/include/fulmaryard/configuration_controller.hpp
+++ b/include/fulmaryard/configuration_controller.hpp
@@ -25,7 +25,7 @@
 {
 public:
     configuration_controller(
-        boost::asio::any_io_executor executor, platform_client& platform,
+        const boost::asio::any_io_executor& executor, platform_client& platform,
         configuration_state& state);
 
     /// Runs until `stop()`. Outages are retried with backoff. Call once.
--- a/src/configuration_controller.cpp
+++ b/src/configuration_controller.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <random>
-#include <utility>
 
 namespace fulmaryard
 {
@@ -39,11 +38,11 @@
 } // namespace
 
 configuration_controller::configuration_controller(
-    asio::any_io_executor executor, platform_client& platform, configuration_state& state)
+    const asio::any_io_executor& executor, platform_client& platform, configuration_state& state)
     : m_platform(platform),
       m_state(state),
       m_store(platform),
-      m_timer(std::move(executor))
+      m_timer(executor)
 {
 }
 
--- a/tests/unit/configuration_apply_test.cpp
+++ b/tests/unit/configuration_apply_test.cpp
@@ -441,6 +441,7 @@
 TEST_CASE("two entries watch the platform")
 {
     std::vector<std::string> entries;
+    entries.reserve(20);
     for (int i = 0; i < 20; ++i)
         entries.push_back("entry-" + std::to_string(i));
     const auto watchers = [&]
