Give orders to engines through an entry that holds the lease

The gate of the side process and the holder's logic existed, but no process held the lease. An administrator's order now makes its entry take the lease and send the order with its epoch.

--- a/include/fulmaryard/administration_api.hpp
+++ b/include/fulmaryard/administration_api.hpp
@@ -17,6 +17,7 @@
 struct apply_request;
 class configuration_state;
 class configuration_store;
+class order_controller;
 class status_source;
 struct tenant_configuration;
 
@@ -26,6 +27,8 @@
 ///
 /// - POST /admin/apply?dry_run=1&generation=N&apply_id=ID&file=NAME&timeout_ms=N, body YAML
 /// - GET /admin/configuration?tenant=T, /admin/history?tenant=T: without key hashes
+/// - POST /admin/orders, body {"instance": "IP:PORT" of a side process, "kind", "args"}: an order
+///   to its engine under the lease (administrators of all tenants only)
 /// - GET /admin/status; GET /admin/dump (administrators of all tenants only)
 class administration_api
 {
@@ -33,7 +36,7 @@
     /// The references must outlive the object.
     administration_api(
         std::vector<administrator> administrators, configuration_store& store,
-        const configuration_state& state, const status_source& source);
+        const configuration_state& state, const status_source& source, order_controller& orders);
 
     boost::asio::awaitable<http_response> handle(http_request request);
 
@@ -46,6 +49,8 @@
     accept(const apply_request& wanted, std::chrono::milliseconds deadline);
     boost::asio::awaitable<http_response>
     history(const administrator& caller, const http_request& request);
+    boost::asio::awaitable<http_response>
+    order(const administrator& caller, const http_request& request);
     http_response
     show_configuration(const administrator& caller, const http_request& request) const;
     http_response show_status(const administrator& caller) const;
@@ -55,6 +60,7 @@
     configuration_store& m_store;
     const configuration_state& m_state;
     const status_source& m_source;
+    order_controller& m_orders;
 };
 
 } // namespace fulmaryard
--- a/src/administration_api.cpp
+++ b/src/administration_api.cpp
@@ -10,6 +10,7 @@
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/key_hash.hpp>
 #include <fulmaryard/log.hpp>
+#include <fulmaryard/order_controller.hpp>
 #include <fulmaryard/status_source.hpp>
 #include <fulmaryard/stream_id.hpp>
 
@@ -35,6 +36,8 @@
 {
 
 constexpr milliseconds read_deadline{2000};
+// The lease of a failed holder lapses after 10 s; then this entry takes it.
+constexpr milliseconds order_deadline{15'000};
 constexpr std::uint64_t default_apply_ms = 10'000;
 constexpr std::uint64_t max_apply_ms = 120'000;
 constexpr std::size_t max_apply_id_bytes = 128;
@@ -217,11 +220,12 @@
 
 administration_api::administration_api(
     std::vector<administrator> administrators, configuration_store& store,
-    const configuration_state& state, const status_source& source)
+    const configuration_state& state, const status_source& source, order_controller& orders)
     : m_administrators(std::move(administrators)),
       m_store(store),
       m_state(state),
-      m_source(source)
+      m_source(source),
+      m_orders(orders)
 {
 }
 
@@ -255,9 +259,10 @@
         co_return error_response(caller.status());
     }
     const std::string path(path_of(request.m_target));
-    const std::string_view expected_method = path == "/admin/apply" ? "POST" : "GET";
-    const bool known = path == "/admin/apply" || path == "/admin/configuration" ||
-                       path == "/admin/history" || path == "/admin/status" || path == "/admin/dump";
+    const bool writes = path == "/admin/apply" || path == "/admin/orders";
+    const std::string_view expected_method = writes ? "POST" : "GET";
+    const bool known = writes || path == "/admin/configuration" || path == "/admin/history" ||
+                       path == "/admin/status" || path == "/admin/dump";
     if (!known)
         co_return error_response(make_failure(failure_kind::path_not_found, "no such path"));
     if (request.m_method != expected_method)
@@ -267,6 +272,8 @@
     }
     if (path == "/admin/apply")
         co_return co_await apply(**caller, request);
+    if (path == "/admin/orders")
+        co_return co_await order(**caller, request);
     if (path == "/admin/history")
         co_return co_await history(**caller, request);
     if (path == "/admin/configuration")
@@ -276,6 +283,66 @@
     co_return dump(**caller);
 }
 
+namespace
+{
+
+struct order_request
+{
+    std::string m_instance;
+    engine_order m_order;
+};
+
+absl::StatusOr<order_request> read_order_request(const std::string& body)
+{
+    json::error_code error;
+    const auto value = json::parse(body, error);
+    const auto* const fields = error ? nullptr : value.if_object();
+    const auto* const instance = fields ? fields->if_contains("instance") : nullptr;
+    const auto* const kind = fields ? fields->if_contains("kind") : nullptr;
+    const auto* const arguments = fields ? fields->if_contains("args") : nullptr;
+    if (!instance || !instance->is_string() || !kind || !kind->is_string() ||
+        (arguments && !arguments->is_object()))
+    {
+        return make_failure(
+            failure_kind::invalid_request, "expected {\"instance\", \"kind\", \"args\"}");
+    }
+    order_request request;
+    request.m_instance = instance->get_string().c_str();
+    request.m_order.m_kind = kind->get_string().c_str();
+    if (arguments)
+        request.m_order.m_arguments = json::serialize(*arguments);
+    return request;
+}
+
+bool is_side_process(const system_status& status, const std::string& address)
+{
+    return std::any_of(
+        status.m_instances.begin(), status.m_instances.end(),
+        [&](const instance_status& instance)
+        { return instance.m_role == "side" && instance.m_address == address; });
+}
+
+} // namespace
+
+asio::awaitable<http_response>
+administration_api::order(const administrator& caller, const http_request& request)
+{
+    if (!may_use_all(caller))
+        co_return error_response(forbidden_tenant("*"));
+    auto wanted = read_order_request(request.m_body);
+    if (!wanted.ok())
+        co_return error_response(wanted.status());
+    if (!is_side_process(m_source.status(), wanted->m_instance))
+    {
+        co_return error_response(make_failure(failure_kind::no_endpoint, "no such side process"));
+    }
+    const auto epoch = co_await m_orders.submit(
+        std::move(wanted->m_instance), std::move(wanted->m_order), order_deadline);
+    if (!epoch.ok())
+        co_return error_response(epoch.status());
+    co_return json_response(json::object{{"accepted", true}, {"epoch", *epoch}});
+}
+
 asio::awaitable<http_response>
 administration_api::apply(const administrator& caller, const http_request& request)
 {
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -18,6 +18,7 @@
 #include <fulmaryard/http_server.hpp>
 #include <fulmaryard/json_rpc.hpp>
 #include <fulmaryard/log.hpp>
+#include <fulmaryard/order_controller.hpp>
 #include <fulmaryard/peer_links.hpp>
 #include <fulmaryard/peer_listener.hpp>
 #include <fulmaryard/platform_client.hpp>
@@ -113,8 +114,10 @@
               *m_services, m_configuration, [this] { return m_controller.platform_reachable(); },
               [this] { return status(); }),
           m_store(m_platform),
+          m_orders(m_io.get_executor(), m_platform, m_process),
           m_administration(
-              m_services->m_settings.m_administrators, m_store, m_configuration, m_status),
+              m_services->m_settings.m_administrators, m_store, m_configuration, m_status,
+              m_orders),
           m_controller(m_io.get_executor(), m_platform, m_configuration),
           m_follower(m_io.get_executor(), m_configuration, nullptr),
           m_use(std::make_shared<account_use_exchange>(
@@ -209,6 +212,7 @@
     platform_client m_platform;
     entry_status m_status;
     configuration_store m_store;
+    order_controller m_orders;
     administration_api m_administration;
     configuration_controller m_controller;
     configuration_follower m_follower;
