Let a process announce another peer address than it binds

The optional setting peer_advertise is what an entry or a side process uses as its own address in hello, load reports and plans. Tests need it to put a network stand-in in front of a process. Without it the address is that of peer_listen, as before.

--- a/include/fulmaryard/entry_settings.hpp
+++ b/include/fulmaryard/entry_settings.hpp
@@ -17,6 +17,8 @@
     std::string m_name; ///< Name in logs, for example "entry-1".
     std::string
         m_peer_listen; ///< Peers, JSON-RPC, metrics and, on entries, administration: "IP:PORT".
+    std::string m_peer_advertise; ///< Address that peers connect to, "IP:PORT"; empty when it is
+                                  ///< the one that `m_peer_listen` binds.
     std::string m_region;
     std::string m_failure_domain;
     std::string m_platform; ///< Address of the object API and instance list, "IP:PORT".
@@ -36,6 +38,12 @@
     std::string m_planner{"least_wait"};     ///< "least_wait" or "round_robin".
     std::string m_recovery{"rebuild_stage"}; ///< "rebuild_stage" or "restart".
 
+    /// Address by which peers and the instance list know this process.
+    const std::string& advertised_address() const
+    {
+        return m_peer_advertise.empty() ? m_peer_listen : m_peer_advertise;
+    }
+
     friend auto operator<=>(const entry_settings&, const entry_settings&) = default;
 };
 
--- a/include/fulmaryard/side_settings.hpp
+++ b/include/fulmaryard/side_settings.hpp
@@ -14,6 +14,8 @@
     std::string m_name; ///< Name in logs, for example "entry-1".
     std::string
         m_peer_listen; ///< Peers, JSON-RPC, metrics and, on entries, administration: "IP:PORT".
+    std::string m_peer_advertise; ///< Address that peers connect to, "IP:PORT"; empty when it is
+                                  ///< the one that `m_peer_listen` binds.
     std::string m_region;
     std::string m_failure_domain;
     std::string m_platform; ///< Address of the object API and instance list, "IP:PORT".
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -118,7 +118,7 @@
           m_controller(m_io.get_executor(), m_platform, m_configuration),
           m_follower(m_io.get_executor(), m_configuration, nullptr),
           m_use(std::make_shared<account_use_exchange>(
-              m_io.get_executor(), m_services->m_gate, m_services->m_settings.m_peer_listen,
+              m_io.get_executor(), m_services->m_gate, m_services->m_settings.advertised_address(),
               m_services->m_settings.m_peers, [this] { return m_configuration.generation(); },
               [this](const std::string& address, std::uint64_t generation)
               {
@@ -126,7 +126,7 @@
                   m_follower.note_generation(address, generation);
               })),
           m_instances(
-              m_io.get_executor(), m_platform, m_services->m_settings.m_peer_listen,
+              m_io.get_executor(), m_platform, m_services->m_settings.advertised_address(),
               [this](const instance_list& list) { on_instances(list); }),
           m_links(
               m_io, [this] { return greeting(); }, *this),
@@ -225,7 +225,8 @@
     hello greeting() const
     {
         return {
-            m_process, "entry", m_services->m_settings.m_peer_listen, m_configuration.generation()};
+            m_process, "entry", m_services->m_settings.advertised_address(),
+            m_configuration.generation()};
     }
 
     void note_peer(const hello& peer)
@@ -408,7 +409,7 @@
         {"role", "entry"},
         {"name", settings.m_name},
         {"process", m_process},
-        {"address", settings.m_peer_listen},
+        {"address", settings.advertised_address()},
         {"phase", std::string(fulmaryard::to_string(m_lifecycle.phase()))},
         {"generation", m_configuration.generation()},
         {"streams", m_services->m_streams.size()},
@@ -432,7 +433,7 @@
     const auto entries = entries_of(list);
     m_use->set_entries(entries);
     m_controller.watch_platform(
-        shall_watch_configuration(m_services->m_settings.m_peer_listen, entries));
+        shall_watch_configuration(m_services->m_settings.advertised_address(), entries));
 }
 
 asio::awaitable<void> entry_process::impl::ask_fixed_peers()
--- a/src/entry_status.cpp
+++ b/src/entry_status.cpp
@@ -116,7 +116,7 @@
         if (const endpoint* known = view.find(listed.m_peer_address))
             add_load(shown, *known);
     }
-    else if (listed.m_peer_address == m_services.m_settings.m_peer_listen)
+    else if (listed.m_peer_address == m_services.m_settings.advertised_address())
     {
         shown.m_state = m_services.m_draining ? "leaving" : "live";
         shown.m_generation = m_state.generation();
--- a/src/model_dispatch.cpp
+++ b/src/model_dispatch.cpp
@@ -179,7 +179,7 @@
         question.m_stream = locator.m_stream;
         question.m_account = m_request.m_account;
         question.m_request_id = m_request.m_request_id;
-        question.m_owner_address = m_services->m_settings.m_peer_listen;
+        question.m_owner_address = m_services->m_settings.advertised_address();
         for (auto it = locator.m_addresses.rbegin(); it != locator.m_addresses.rend(); ++it)
         {
             // An event id comes from the caller, so it must not make this entry connect to an
--- a/src/model_stream.cpp
+++ b/src/model_stream.cpp
@@ -57,7 +57,7 @@
 {
     stream_owner_settings settings;
     settings.m_process = m_services->m_process;
-    settings.m_address = m_services->m_settings.m_peer_listen;
+    settings.m_address = m_services->m_settings.advertised_address();
     settings.m_recovery = m_services->m_settings.m_recovery == "restart"
                               ? recovery_strategy::restart
                               : recovery_strategy::rebuild_stage;
--- a/src/service_dispatch.cpp
+++ b/src/service_dispatch.cpp
@@ -73,7 +73,7 @@
     {
         const auto& request = *context.m_request;
         const auto& safe = context.m_service->m_idempotent_methods;
-        m_call.m_reply_address = m_services->m_settings.m_peer_listen;
+        m_call.m_reply_address = m_services->m_settings.advertised_address();
         m_call.m_request_id = context.m_request_id;
         m_call.m_account = context.m_account->m_name;
         m_call.m_service = context.m_service->m_name;
--- a/src/settings_fields.hpp
+++ b/src/settings_fields.hpp
@@ -20,6 +20,9 @@
 inline constexpr auto field_table<entry_settings> = std::tuple{
     field{"name", &entry_settings::m_name, field_rules{true, 0, 0, check_name}},
     field{"peer_listen", &entry_settings::m_peer_listen, field_rules{true, 0, 0, check_address}},
+    field{
+        "peer_advertise", &entry_settings::m_peer_advertise,
+        field_rules{false, 0, 0, check_address}},
     field{"region", &entry_settings::m_region, field_rules{true, 0, 0, check_name}},
     field{"failure_domain", &entry_settings::m_failure_domain, field_rules{true, 0, 0, check_name}},
     field{"platform", &entry_settings::m_platform, field_rules{true, 0, 0, check_address}},
@@ -46,6 +49,9 @@
 inline constexpr auto field_table<side_settings> = std::tuple{
     field{"name", &side_settings::m_name, field_rules{true, 0, 0, check_name}},
     field{"peer_listen", &side_settings::m_peer_listen, field_rules{true, 0, 0, check_address}},
+    field{
+        "peer_advertise", &side_settings::m_peer_advertise,
+        field_rules{false, 0, 0, check_address}},
     field{"region", &side_settings::m_region, field_rules{true, 0, 0, check_name}},
     field{"failure_domain", &side_settings::m_failure_domain, field_rules{true, 0, 0, check_name}},
     field{"platform", &side_settings::m_platform, field_rules{true, 0, 0, check_address}},
--- a/src/side_process.cpp
+++ b/src/side_process.cpp
@@ -187,8 +187,13 @@
         auto port = m_server.listen(m_settings.m_peer_listen);
         if (!port.ok())
             return port;
-        m_address = m_settings.m_peer_listen.substr(0, m_settings.m_peer_listen.rfind(':') + 1) +
-                    std::to_string(*port);
+        m_address = m_settings.m_peer_advertise;
+        if (m_address.empty())
+        {
+            m_address =
+                m_settings.m_peer_listen.substr(0, m_settings.m_peer_listen.rfind(':') + 1) +
+                std::to_string(*port);
+        }
         if (m_engine)
             m_engine->start();
         if (m_worker)
--- a/tests/unit/settings_parser_test.cpp
+++ b/tests/unit/settings_parser_test.cpp
@@ -52,6 +52,16 @@
         CHECK(parsed->m_listen == "127.0.0.1:8080");
         CHECK(parsed->m_threads == entry_settings().m_threads);
         CHECK(parsed->m_drain_limit_ms == 300000);
+        CHECK(parsed->advertised_address() == "127.0.0.1:9080");
+    }
+    GIVEN("an entry that peers reach at another address than it binds")
+    {
+        const auto parsed =
+            parse_entry_settings(entry_text + "peer_advertise: 127.0.0.1:9090\n", "entry.yaml");
+        REQUIRE(parsed.ok());
+        CHECK(parsed->m_peer_listen == "127.0.0.1:9080");
+        CHECK(parsed->advertised_address() == "127.0.0.1:9090");
+        CHECK(entry_error_has(entry_text + "peer_advertise: here\n", "peer_advertise"));
     }
     GIVEN("a side process's settings beside an engine")
     {
