--- a/tests/process/test_client.cpp
+++ b/tests/process/test_client.cpp
@@ -16,22 +16,6 @@
 namespace
 {
 
-// Text of a chunk of a chat completion or of a plain completion.
-std::string delta_text(const std::string& data)
-{
-    json::error_code error;
-    const json::value chunk = json::parse(data, error);
-    if (error)
-        return {};
-    for (const char* pointer : {"/choices/0/delta/content", "/choices/0/text"})
-    {
-        const json::value* text = chunk.find_pointer(pointer, error);
-        if (text != nullptr && text->is_string())
-            return std::string(text->get_string().data(), text->get_string().size());
-    }
-    return {};
-}
-
 // Reads events into `answer` until the end or a failure of the connection.
 absl::Status
 read_events(event_stream& stream, streamed_answer& answer, std::chrono::milliseconds silence)
@@ -52,7 +36,7 @@
             answer.m_done = true;
             return absl::OkStatus();
         }
-        answer.m_text += delta_text((*event)->m_data);
+        answer.m_text += test_client::delta_text((*event)->m_data);
         answer.m_events.push_back(std::move(**event));
     }
 }
@@ -130,4 +114,19 @@
     return status;
 }
 
+std::string test_client::delta_text(const std::string& data)
+{
+    json::error_code error;
+    const json::value chunk = json::parse(data, error);
+    if (error)
+        return {};
+    for (const char* pointer : {"/choices/0/delta/content", "/choices/0/text"})
+    {
+        const json::value* text = chunk.find_pointer(pointer, error);
+        if (text != nullptr && text->is_string())
+            return std::string(text->get_string().data(), text->get_string().size());
+    }
+    return {};
+}
+
 } // namespace fulmaryard::process_tests
--- a/tests/process/test_client.hpp
+++ b/tests/process/test_client.hpp
@@ -46,6 +46,9 @@
         const std::vector<std::string>& addresses, const http_request& request,
         std::size_t reconnections = 0, std::chrono::milliseconds silence = m_default_deadline);
 
+    /// Text of a chunk of a chat completion or of a plain completion; empty without one.
+    static std::string delta_text(const std::string& data);
+
 private:
     std::string m_address;
 };
--- a/tests/process/test_system.cpp
+++ b/tests/process/test_system.cpp
@@ -83,18 +83,25 @@
 
 void test_system::add_relay(const std::string& name, const std::string& target)
 {
-    const std::string target_address = peer_address(find(target));
+    create_relay(name, peer_address(find(target)));
+    start(name);
+}
+
+test_system::part&
+test_system::create_relay(const std::string& name, const std::string& target_address)
+{
     part& relay = add_standin(name, "standin_relay", {});
     relay.m_control.emplace();
     relay.m_arguments = {"--listen", relay.m_control->address(),
                          "--relay",  relay.m_port.address(),
                          "--target", target_address};
-    start(name);
+    return relay;
 }
 
 void test_system::add_process(
     const std::string& name, const std::string& role, const std::string& failure_domain,
-    const std::string& settings, const std::function<std::string(part&)>& specific)
+    const std::string& settings, const std::function<std::string(part&)>& specific,
+    const std::string& relay)
 {
     const auto [place, added] = m_parts.try_emplace(name);
     if (!added)
@@ -103,7 +110,13 @@
     created.m_binary = FULMARYARD_BINARY;
     created.m_role = role;
     created.m_failure_domain = failure_domain;
-    const std::string own = specific(created);
+    std::string own = specific(created);
+    if (!relay.empty())
+    {
+        created.m_advertised = create_relay(relay, peer_address(created)).m_port.address();
+        own += fmt::format("peer_advertise: {}\n", created.m_advertised);
+        start(relay);
+    }
     const std::string path = m_directory.file(name + ".yaml");
     write_file(
         path,
@@ -124,6 +137,15 @@
         [&](part&) { return fmt::format("engine: {}\n", address(engine)); });
 }
 
+void test_system::add_relayed_engine_side(
+    const std::string& name, const std::string& relay, const std::string& engine,
+    const std::string& failure_domain)
+{
+    add_process(
+        name, "side", failure_domain, "",
+        [&](part&) { return fmt::format("engine: {}\n", address(engine)); }, relay);
+}
+
 void test_system::add_worker_side(
     const std::string& name, const std::string& worker, const std::string& service,
     const std::string& failure_domain, const std::string& settings)
@@ -139,12 +161,25 @@
 
 void test_system::add_entry(
     const std::string& name, const std::string& failure_domain, const std::string& settings)
+{
+    create_entry(name, failure_domain, settings, "");
+}
+
+void test_system::add_relayed_entry(
+    const std::string& name, const std::string& relay, const std::string& failure_domain)
+{
+    create_entry(name, failure_domain, "", relay);
+}
+
+void test_system::create_entry(
+    const std::string& name, const std::string& failure_domain, const std::string& settings,
+    const std::string& relay)
 {
     std::vector<std::string> peers;
     for (const auto& [other, each] : m_parts)
     {
         if (each.m_role == "entry")
-            peers.push_back(fmt::format("\"{}\"", peer_address(each)));
+            peers.push_back(fmt::format("\"{}\"", advertised_address(each)));
     }
     add_process(
         name, "entry", failure_domain, settings,
@@ -156,7 +191,8 @@
                 "    key_hash: \"{}\"\n    tenants: [\"*\"]\n",
                 created.m_port.address(), fmt::join(peers, ", "),
                 make_key_hash(m_administrator_secret));
-        });
+        },
+        relay);
 }
 
 // An entry serves callers at its first port and peers at its control port.
@@ -165,6 +201,11 @@
     return found.m_role == "entry" ? found.m_control->address() : found.m_port.address();
 }
 
+std::string test_system::advertised_address(const part& found)
+{
+    return found.m_advertised.empty() ? peer_address(found) : found.m_advertised;
+}
+
 void test_system::start(const std::string& name)
 {
     part& found = find(name);
@@ -212,7 +253,7 @@
     const boost::json::object instance{
         {"name", name},
         {"role", found.m_role},
-        {"peer_address", peer_address(found)},
+        {"peer_address", advertised_address(found)},
         {"region", region},
         {"failure_domain", found.m_failure_domain},
         {"leaving", leaving}};
--- a/tests/process/test_system.hpp
+++ b/tests/process/test_system.hpp
@@ -54,6 +54,11 @@
         const std::string& name, const std::string& engine, const std::string& failure_domain,
         const std::string& settings = "");
 
+    /// Likewise, and peers reach the side process only through a new network stand-in `relay`.
+    void add_relayed_engine_side(
+        const std::string& name, const std::string& relay, const std::string& engine,
+        const std::string& failure_domain);
+
     /// Likewise beside an application worker that provides `service`.
     void add_worker_side(
         const std::string& name, const std::string& worker, const std::string& service,
@@ -64,6 +69,10 @@
         const std::string& name, const std::string& failure_domain,
         const std::string& settings = "");
 
+    /// Likewise, and peers reach the entry only through a new network stand-in `relay`.
+    void add_relayed_entry(
+        const std::string& name, const std::string& relay, const std::string& failure_domain);
+
     /// Runs `fulmaryard apply` at an entry and returns its exit code.
     int apply(const std::string& entry, const std::string& file_content);
 
@@ -118,6 +127,7 @@
         std::uint32_t m_layers_total{0};
         reserved_port m_port;
         std::optional<reserved_port> m_control;
+        std::string m_advertised; ///< Where peers connect to; empty without a relay.
         std::optional<child_process> m_process;
     };
 
@@ -125,11 +135,17 @@
         const std::string& name, const std::string& binary, std::vector<std::string> arguments);
     void add_process(
         const std::string& name, const std::string& role, const std::string& failure_domain,
-        const std::string& settings, const std::function<std::string(part&)>& specific);
+        const std::string& settings, const std::function<std::string(part&)>& specific,
+        const std::string& relay = "");
+    void create_entry(
+        const std::string& name, const std::string& failure_domain, const std::string& settings,
+        const std::string& relay);
+    part& create_relay(const std::string& name, const std::string& target_address);
     void start(const std::string& name);
     part& find(const std::string& name);
     const part& find(const std::string& name) const;
     static std::string peer_address(const part& found);
+    static std::string advertised_address(const part& found);
 
     temporary_directory m_directory;
     std::map<std::string, part> m_parts;
