--- a/src/call_ledger.cpp
+++ b/src/call_ledger.cpp
@@ -234,7 +234,9 @@
         partition.m_waiting.push_back(ticket);
         return;
     }
-    const bool may_be_running = seconds_of(wall) <= record.m_deadline_s;
+    // The calls of this process are all in `m_calls`, and a key that is there never gets here.
+    const bool ended_here = record.m_attempt.starts_with(m_settings.m_process + "/");
+    const bool may_be_running = !ended_here && seconds_of(wall) <= record.m_deadline_s;
     answer(
         ticket, failed_result(
                     may_be_running ? failure_kind::key_in_progress : failure_kind::outcome_unknown,
--- a/src/service_dispatch.cpp
+++ b/src/service_dispatch.cpp
@@ -23,6 +23,10 @@
 {
 
 constexpr std::size_t max_idempotency_key = 200;
+/// How much earlier than the entry's own deadline a side process must answer. It checks deadlines
+/// every 50 ms. Without the margin both give up at once, and a call that the side process refuses
+/// as not run is reported as unknown.
+constexpr std::chrono::milliseconds answer_margin{250};
 
 /// Live side processes of a service. Those whose worker is down come only where all are, since they
 /// answer with a failure faster than a busy one answers at all.
@@ -179,8 +183,10 @@
         const auto answer = std::make_shared<one_shot<service_result>>(m_exchange.executor());
         m_call.m_call = m_services->m_calls.add(
             target.m_address, [answer](service_result result) { answer->set(std::move(result)); });
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now);
+        // A side process takes 0 as its default deadline.
         m_call.m_deadline_ms = static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now).count());
+            std::max<std::int64_t>(1, (left - std::min(answer_margin, left / 4)).count()));
         const auto counters = target.m_counters;
         counters->m_outstanding.fetch_add(1, std::memory_order_relaxed);
         m_services->m_send(target.m_address, m_call);
