--- /dev/null
+++ b/benchmark/capacity_calls.cpp
@@ -0,0 +1,143 @@
+#include "capacity_parts.hpp"
+#include "slope_fit.hpp"
+
+#include "process/test_system.hpp"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <thread>
+
+namespace fulmaryard::benchmark
+{
+
+namespace
+{
+
+using process_tests::test_system;
+namespace json = boost::json;
+
+double total_calls(const test_system& system)
+{
+    double total = 0;
+    const auto counted = system.client("platform").get_json("/calls");
+    for (const auto& [kind, number] : counted.as_object())
+    {
+        if (kind != "pending_watches")
+            total += number.to_number<double>();
+    }
+    return total;
+}
+
+double pending_watches(const test_system& system)
+{
+    return system.client("platform").get_json("/calls").at("pending_watches").to_number<double>();
+}
+
+/// Calls of `work` beyond those that the system makes when idle, at `idle_rate` a second.
+template <typename Work>
+double calls_of(const test_system& system, double idle_rate, const Work& work)
+{
+    const auto began = std::chrono::steady_clock::now();
+    const double before = total_calls(system);
+    work();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    const double made = total_calls(system) - before;
+    const std::chrono::duration<double> taken = std::chrono::steady_clock::now() - began;
+    return made - idle_rate * taken.count();
+}
+
+double idle_calls(const test_system& system)
+{
+    // A multiple of the 3 s of a watch.
+    const double before = total_calls(system);
+    std::this_thread::sleep_for(std::chrono::seconds(6));
+    return (total_calls(system) - before) / 6;
+}
+
+} // namespace
+
+void measure_platform_calls()
+{
+    test_system system;
+    system.add_engine("engine-1", {0, 6}, 12);
+    system.add_engine("engine-2", {6, 12}, 12);
+    system.add_engine_side("side-1", "engine-1", "domain-1");
+    system.add_engine_side("side-2", "engine-2", "domain-2");
+    system.add_worker("worker");
+    system.add_worker_side("side-3", "worker", "orders", "domain-3");
+    system.add_entry("entry-1", "domain-1");
+    if (system.apply("entry-1", system.make_configuration("kitwerk", {"shop"})) != 0 ||
+        !system.wait_ready("entry-1").ok())
+    {
+        fmt::print(stderr, "the system did not become ready\n");
+        return;
+    }
+    const double rate = idle_calls(system);
+    print_value("idle_platform_calls_of_1_entry_3_sides", rate, "calls/s");
+    print_value("pending_watches_of_1_entry_3_sides", pending_watches(system), "watches");
+
+    slope_fit changes;
+    int applied = 0;
+    for (const int count : {2, 4, 6})
+    {
+        changes.add(
+            count, calls_of(
+                       system, rate,
+                       [&]
+                       {
+                           for (int at = 0; at < count; ++at)
+                           {
+                               // Another account each time, since an equal file is no change.
+                               const std::string account = fmt::format("account-{}", ++applied);
+                               if (system.apply(
+                                       "entry-1", system.make_configuration(
+                                                      "kitwerk", {"shop", account})) != 0)
+                                   fmt::print(stderr, "an apply failed\n");
+                           }
+                       }));
+    }
+    changes.print("platform_calls_per_configuration_change", "calls");
+
+    slope_fit orders;
+    int ordered = 0;
+    for (const int count : {10, 20, 40})
+    {
+        orders.add(
+            count, calls_of(
+                       system, rate,
+                       [&]
+                       {
+                           for (int at = 0; at < count; ++at)
+                           {
+                               const auto answer = system.client("entry-1").post(
+                                   "/orders", R"({"kit":"first aid"})",
+                                   {{"Authorization", "Bearer " + test_system::bearer("shop")},
+                                    {"Idempotency-Key", fmt::format("key-{}", ++ordered)}});
+                               if (!answer.ok() || answer->m_status >= 300)
+                                   fmt::print(stderr, "an order failed\n");
+                           }
+                       }));
+    }
+    orders.print("platform_calls_per_sequential_service_order", "calls");
+
+    slope_fit replaced;
+    for (const int count : {1, 2, 3})
+    {
+        replaced.add(
+            count, calls_of(
+                       system, rate,
+                       [&]
+                       {
+                           for (int at = 0; at < count; ++at)
+                           {
+                               system.restart("side-1");
+                               std::this_thread::sleep_for(std::chrono::milliseconds(700));
+                           }
+                       }));
+    }
+    replaced.print("platform_calls_per_replaced_side_process", "calls");
+}
+
+} // namespace fulmaryard::benchmark
