Let side processes learn the instance list from entries

Each side process read the whole list from the platform every 2 s: 1,950 of 2,000 reads a second at 3,900 side processes, and 0.5 MB a read. It now asks an entry for what the list says about it (instances.view), and the platform only while no entry answers, with backoff. Entries that do not watch the platform are told when their list is current instead of getting it again each second.

--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -143,7 +143,7 @@
         { m_links.send(address, message); };
         add_configuration_methods(m_rpc, m_configuration);
         m_use->serve(m_rpc);
-        m_instances.serve(m_rpc);
+        m_instances.serve(m_rpc, [this] { return m_configuration.generation(); });
     }
 
     ~impl() override
--- a/src/instance_watcher.cpp
+++ b/src/instance_watcher.cpp
@@ -1,5 +1,6 @@
 #include "instance_watcher.hpp"
 
+#include "instance_view.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/failure.hpp>
@@ -32,6 +33,7 @@
 // A leaving endpoint must get no new work after a few seconds; this adds one to the list's lag.
 constexpr std::chrono::milliseconds peer_interval{1000};
 constexpr std::chrono::milliseconds retry_interval{500};
+constexpr int invalid_parameters = -32602; ///< Of JSON-RPC 2.0.
 
 std::string text_of(const json::object& object, std::string_view name)
 {
@@ -40,6 +42,20 @@
     return text ? std::string(text->data(), text->size()) : std::string();
 }
 
+/// The member `name` of a JSON object in `text`; 0 when there is none.
+std::uint64_t number_of(std::string_view text, std::string_view name)
+{
+    json::error_code error;
+    const auto value = json::parse(json::string_view(text.data(), text.size()), error);
+    const auto* const fields = error ? nullptr : value.if_object();
+    const auto* const number =
+        fields ? fields->if_contains(json::string_view(name.data(), name.size())) : nullptr;
+    if (!number || !number->is_number())
+        return 0;
+    const auto read = number->to_number<std::uint64_t>(error);
+    return error ? 0 : read;
+}
+
 absl::Status malformed()
 {
     return make_failure(failure_kind::invalid_request, "malformed instance list");
@@ -112,15 +128,32 @@
 {
 }
 
-void instance_watcher::serve(json_rpc_server& server)
+void instance_watcher::serve(json_rpc_server& server, std::function<std::uint64_t()> generation)
 {
     server.add(
         "instances.get",
-        [this](const std::string&) -> json_rpc_result
+        [this](const std::string& parameters) -> json_rpc_result
         {
+            const std::uint64_t known = number_of(parameters, "version");
             const std::lock_guard lock(m_mutex);
+            if (known != 0 && known == m_list.m_version)
+                return {json::serialize(json::object{{"unchanged", known}}), "", 0};
             return {format_instance_list(m_list), "", 0};
         });
+    server.add(
+        "instances.view",
+        [this, generation = std::move(generation)](const std::string& parameters) -> json_rpc_result
+        {
+            json::error_code error;
+            const auto value =
+                json::parse(json::string_view(parameters.data(), parameters.size()), error);
+            const auto* const fields = error ? nullptr : value.if_object();
+            if (!fields)
+                return {"", "instances.view takes peer_address", invalid_parameters};
+            const std::string address = text_of(*fields, "peer_address");
+            const std::lock_guard lock(m_mutex);
+            return {format_instance_view(make_instance_view(m_list, address, generation())), "", 0};
+        });
 }
 
 void instance_watcher::accept(instance_list list)
@@ -140,11 +173,20 @@
         http_request request;
         request.m_method = "POST";
         request.m_target = "/rpc";
-        request.m_body = make_json_rpc_request("instances.get", "{}");
+        request.m_body = make_json_rpc_request(
+            "instances.get", json::serialize(json::object{{"version", m_list.m_version}}));
         const auto response = co_await client.send(std::move(request), peer_deadline);
         if (!response.ok() || response->m_status != 200)
             continue;
         const auto answer = read_json_rpc_response(response->m_body);
+        // The whole list of the design scale is 0.5 MB, too much to send each second.
+        if (answer.m_error.empty() && m_list.m_version != 0 &&
+            number_of(answer.m_json, "unchanged") == m_list.m_version)
+        {
+            // Endpoints that left the list while their link was up are dropped at a later call.
+            m_on_list(m_list);
+            co_return true;
+        }
         auto list = parse_instance_list(answer.m_json);
         // A peer that has just started has no list, and one that is cut off has an older one.
         if (!answer.m_error.empty() || !list.ok() || list->m_version < m_list.m_version)
--- a/src/instance_watcher.hpp
+++ b/src/instance_watcher.hpp
@@ -35,8 +35,9 @@
         boost::asio::any_io_executor executor, platform_client& platform, std::string self,
         change_handler on_list);
 
-    /// Adds `instances.get` to `server`.
-    void serve(json_rpc_server& server);
+    /// Adds `instances.get` (the list, or {"unchanged"} for a caller that has its version) and
+    /// `instances.view` (what one side process needs of it) to `server`.
+    void serve(json_rpc_server& server, std::function<std::uint64_t()> generation);
 
     /// Reads until the executor's context stops. Call it once.
     boost::asio::awaitable<void> run();
--- a/src/side_process.cpp
+++ b/src/side_process.cpp
@@ -1,3 +1,4 @@
+#include "instance_view.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/configuration_follower.hpp>
@@ -57,6 +58,11 @@
 constexpr std::chrono::milliseconds report_interval{100};
 constexpr std::chrono::milliseconds full_report_interval{1000};
 constexpr std::chrono::milliseconds instance_poll{2000};
+// While no entry answers: 3,900 side processes then make 244 of the platform's 2,000 reads a
+// second.
+constexpr std::chrono::milliseconds longest_platform_pause{16'000};
+// Several, so that one entry that is gone does not send its side processes to the platform.
+constexpr std::size_t entries_asked_per_poll = 3;
 constexpr std::chrono::milliseconds platform_deadline{1000};
 constexpr std::chrono::milliseconds generation_deadline{500};
 /// How long the start waits for peers' configuration before the process serves without it.
@@ -100,22 +106,32 @@
         message);
 }
 
-/// Asks one peer for its configuration generation; 0 when it does not answer.
-asio::awaitable<std::uint64_t>
-ask_generation(const asio::any_io_executor& executor, const std::string& address)
+/// Calls a method of one peer; empty when it does not answer.
+asio::awaitable<std::string> call_peer(
+    const asio::any_io_executor& executor, const std::string& address, std::string method,
+    std::string parameters)
 {
     http_client client(executor, address, 0);
     http_request request{
         "POST",
         "/rpc",
         {{"Content-Type", "application/json"}},
-        make_json_rpc_request("configuration.generation", "{}")};
+        make_json_rpc_request(method, parameters)};
     const auto response = co_await client.send(std::move(request), generation_deadline);
     if (!response.ok() || response->m_status != 200)
-        co_return 0;
-    const auto answer = read_json_rpc_response(response->m_body);
+        co_return std::string();
+    co_return read_json_rpc_response(response->m_body).m_json;
+}
+
+/// Asks one peer for its configuration generation; 0 when it does not answer.
+asio::awaitable<std::uint64_t>
+ask_generation(const asio::any_io_executor& executor, const std::string& address)
+{
+    const std::string method = "configuration.generation";
+    const std::string parameters = "{}";
+    const std::string answer = co_await call_peer(executor, address, method, parameters);
     boost::system::error_code error;
-    const auto value = json::parse(answer.m_json, error);
+    const auto value = json::parse(answer, error);
     const auto* object = error ? nullptr : value.if_object();
     const auto* generation = object ? object->if_contains("generation") : nullptr;
     if (!generation || !generation->is_number())
@@ -541,35 +557,68 @@
                 .with("generation", m_configuration.generation());
     }
 
-    /// Learns from the platform whether this instance is leaving, and asks one entry for its
-    /// generation, so that a side process without traffic keeps up as well.
+    /// Learns whether this instance is leaving and which generation is in force, from an entry, so
+    /// that reads of the platform do not grow with the number of side processes; from the platform
+    /// while no entry answers.
     asio::awaitable<void> instance_loop()
     {
         asio::steady_timer timer(co_await asio::this_coro::executor);
         std::minstd_rand random(std::random_device{}());
         std::vector<std::string> entries;
+        std::uint64_t version = 0;
+        auto platform_pause = instance_poll;
+        auto next_read = steady::now();
         for (;;)
         {
             timer.expires_after(instance_poll);
             co_await timer.async_wait(use_tuple);
-            const auto listed = co_await m_platform->instances(0, std::chrono::milliseconds(0));
-            if (listed.ok())
+            std::shuffle(entries.begin(), entries.end(), random);
+            const bool answered = co_await ask_entries(entries, version);
+            if (answered)
             {
-                entries.clear();
-                for (const auto& each : listed->m_instances)
-                {
-                    if (each.m_role == "side" && each.m_peer_address == m_address && each.m_leaving)
-                        begin_drain("instance list");
-                    if (each.m_role == "entry" && !each.m_leaving)
-                        entries.push_back(each.m_peer_address);
-                }
+                platform_pause = instance_poll;
+                continue;
             }
-            if (entries.empty())
+            if (steady::now() < next_read)
+                continue;
+            next_read = steady::now() + platform_pause;
+            platform_pause = std::min(2 * platform_pause, longest_platform_pause);
+            const auto listed = co_await m_platform->instances(0, std::chrono::milliseconds(0));
+            if (!listed.ok())
+                continue;
+            const auto view = make_instance_view(*listed, m_address, 0);
+            version = view.m_version;
+            entries = view.m_entries;
+            if (view.m_leaving)
+                begin_drain("instance list");
+        }
+    }
+
+    /// Takes the view of the first of `entries` that answers, and with it the entries to ask next.
+    asio::awaitable<bool> ask_entries(std::vector<std::string>& entries, std::uint64_t& version)
+    {
+        const std::string parameters = json::serialize(json::object{{"peer_address", m_address}});
+        const std::string method = "instances.view";
+        for (std::size_t at = 0; at < std::min(entries.size(), entries_asked_per_poll); ++at)
+        {
+            const std::string address = entries[at];
+            const std::string answer =
+                co_await call_peer(m_io.get_executor(), address, method, parameters);
+            const auto view = parse_instance_view(answer);
+            if (!view)
+                continue;
+            m_follower.note_generation(address, view->m_generation);
+            // An entry that has just started has no list, and one that is cut off an older one.
+            if (view->m_version == 0 || view->m_version < version)
                 continue;
-            const std::string address = entries[random() % entries.size()];
-            const auto generation = co_await ask_generation(m_io.get_executor(), address);
-            m_follower.note_generation(address, generation);
+            version = view->m_version;
+            if (view->m_leaving)
+                begin_drain("instance list");
+            if (!view->m_entries.empty())
+                entries = view->m_entries;
+            co_return true;
         }
+        co_return false;
     }
 
     // Load reports, on `m_report_strand`
--- /dev/null
+++ b/tests/unit/instance_view_test.cpp
@@ -0,0 +1,78 @@
+#include "instance_view.hpp"
+
+#include <fulmaryard/instance_list.hpp>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace fulmaryard;
+
+namespace
+{
+
+instance_list make_list(int entries, bool leaving)
+{
+    instance_list list{7, {{"side-1", "side", "s1", "r", "d", leaving}}};
+    for (int at = 0; at < entries; ++at)
+    {
+        list.m_instances.push_back(
+            {fmt::format("entry-{}", at), "entry", fmt::format("e{}", at), "r", "d", at == 0});
+    }
+    return list;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("leaving");
+
+TEST_CASE("a side process learns from an entry what the list says about it")
+{
+    // Guards against a side process that misses its own leave, now that it does not read the list
+    // itself.
+    GIVEN("a list that shows it as leaving")
+    {
+        const auto view = make_instance_view(make_list(3, true), "s1", 5);
+        CHECK(view.m_leaving);
+        CHECK(view.m_version == 7);
+        CHECK(view.m_generation == 5);
+        CHECK_FALSE(make_instance_view(make_list(3, true), "s2", 5).m_leaving);
+        THEN("entries that leave are not among those to ask")
+        {
+            CHECK(std::count(view.m_entries.begin(), view.m_entries.end(), "e0") == 0);
+            CHECK(view.m_entries.size() == 2);
+        }
+        THEN("the text keeps everything")
+        {
+            CHECK(parse_instance_view(format_instance_view(view)) == view);
+        }
+    }
+    GIVEN("as many entries as the design scale has")
+    {
+        const auto list = make_list(370, false);
+        THEN("the view is bounded, and side processes spread over the entries")
+        {
+            std::set<std::string> used;
+            for (int at = 0; at < 500; ++at)
+            {
+                const auto view = make_instance_view(list, fmt::format("s{}", at), 1);
+                CHECK(view.m_entries.size() == max_view_entries);
+                used.insert(view.m_entries.begin(), view.m_entries.end());
+            }
+            CHECK(used.size() > 360);
+        }
+    }
+    GIVEN("malformed texts")
+    {
+        for (const char* text :
+             {"", "[]", R"({"version":1})",
+              R"({"version":1,"generation":1,"leaving":0,"entries":[]})",
+              R"({"version":-1,"generation":1,"leaving":false,"entries":[]})",
+              R"({"version":1,"generation":1,"leaving":false,"entries":[1]})"})
+            CHECK_FALSE(parse_instance_view(text));
+    }
+}
+
+TEST_SUITE_END();
