Send only the changed files of a configuration between processes

It now says which generation it has and gets the files changed since, if that generation was in force at the peer too; otherwise, or when the result has another number of tenants than the peer says, it gets everything as before.

--- a/benchmark/capacity_slopes.cpp
+++ b/benchmark/capacity_slopes.cpp
@@ -4,7 +4,9 @@
 #include <fulmaryard/admission.hpp>
 #include <fulmaryard/call_ledger.hpp>
 #include <fulmaryard/configuration_codec.hpp>
+#include <fulmaryard/configuration_delta.hpp>
 #include <fulmaryard/configuration_index.hpp>
+#include <fulmaryard/configuration_state.hpp>
 #include <fulmaryard/endpoint_directory.hpp>
 #include <fulmaryard/http_message.hpp>
 #include <fulmaryard/key_hash.hpp>
@@ -23,6 +25,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -113,6 +116,63 @@
     }
 }
 
+/// One tenant's file changes: what a peer sends, and the time to put it in force.
+void measure_delta()
+{
+    slope_fit bytes;
+    slope_fit serve;
+    slope_fit apply;
+    for (const int accounts : {1000, 5000, 19'000})
+    {
+        auto next = make_configuration(accounts);
+        const auto before = std::make_shared<const configuration>(next);
+        ++next.m_generation;
+        next.m_tenants.front().m_accounts.front().m_weight = 2;
+        configuration_state state;
+        state.offer(before);
+        state.offer(std::make_shared<const configuration>(std::move(next)));
+        const std::string text = encode_configuration_delta(*state.changes_since(1));
+        bytes.add(accounts, static_cast<double>(text.size()));
+        if (accounts == 19'000)
+            print_value(
+                "wire_per_configuration_delta_19000_accounts", static_cast<double>(text.size()),
+                "bytes");
+        slope_fit served;
+        add_times(
+            served, {5, 10, 15},
+            [&](int times)
+            {
+                for (int at = 0; at < times; ++at)
+                    std::ignore = encode_configuration_delta(*state.changes_since(1));
+            });
+        serve.add(accounts, served.slope());
+        snapshot<configuration_index> published(nullptr);
+        slope_fit applied;
+        add_times(
+            applied, {5, 10, 15},
+            [&](int times)
+            {
+                for (int at = 0; at < times; ++at)
+                {
+                    const auto delta = decode_configuration_delta(text);
+                    auto made = apply_delta(*before, *delta);
+                    // Notes what changed for peers that will ask, as every process does.
+                    configuration_state receiver;
+                    receiver.offer(before);
+                    receiver.offer(std::make_shared<const configuration>(*std::move(made)));
+                    published.publish(
+                        std::make_shared<configuration_index>(receiver.published().load()));
+                }
+            });
+        apply.add(accounts, applied.slope());
+        if (accounts == 19'000)
+            print_value("cpu_per_configuration_delta_19000_accounts", applied.slope() * 1e3, "ms");
+    }
+    bytes.print("wire_per_configuration_delta_and_account", "bytes");
+    serve.print("cpu_per_configuration_delta_served_and_account", "us", 1e6);
+    apply.print("cpu_per_configuration_delta_and_account", "us", 1e6);
+}
+
 void measure_configuration()
 {
     slope_fit values;
@@ -156,6 +216,7 @@
         whole.add(accounts, repeated.slope());
     }
     whole.print("cpu_per_configuration_change_and_account", "us", 1e6);
+    measure_delta();
 }
 
 void measure_requests()
--- a/include/fulmaryard/configuration_follower.hpp
+++ b/include/fulmaryard/configuration_follower.hpp
@@ -46,7 +46,9 @@
     std::shared_ptr<impl> m_impl;
 };
 
-/// Adds `configuration.get` ({"generation","text"}) and `configuration.generation`
+/// Adds `configuration.get` ({"generation","text"}, or a `configuration_delta` for a caller that
+/// says which generation it has, {"known"}, when what changed since then is known) and
+/// `configuration.generation`
 /// ({"generation"}) to `server`. `state` must outlive it.
 void add_configuration_methods(json_rpc_server& server, const configuration_state& state);
 
--- a/src/configuration_follower.cpp
+++ b/src/configuration_follower.cpp
@@ -1,6 +1,7 @@
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/configuration_codec.hpp>
+#include <fulmaryard/configuration_delta.hpp>
 #include <fulmaryard/configuration_follower.hpp>
 #include <fulmaryard/configuration_state.hpp>
 #include <fulmaryard/failure.hpp>
@@ -38,15 +39,17 @@
 // All tenants' files together; one file is limited to the platform's 1 MB.
 constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
 
-asio::awaitable<absl::StatusOr<configuration>>
-fetch(const asio::any_io_executor& executor, const std::string& address)
+asio::awaitable<absl::StatusOr<configuration>> fetch(
+    const asio::any_io_executor& executor, const std::string& address,
+    std::shared_ptr<const configuration> base)
 {
     http_client client(executor, address, 0, max_response_bytes);
     http_request request;
     request.m_method = "POST";
     request.m_target = "/rpc";
     request.m_fields = {{"Content-Type", "application/json"}};
-    request.m_body = make_json_rpc_request("configuration.get", "{}");
+    request.m_body = make_json_rpc_request(
+        "configuration.get", json::serialize(json::object{{"known", base->m_generation}}));
     const auto response = co_await client.send(std::move(request), fetch_deadline);
     if (!response.ok())
         co_return response.status();
@@ -61,6 +64,13 @@
     boost::system::error_code error;
     const auto value = json::parse(answer.m_json, error);
     const auto* object = error ? nullptr : value.if_object();
+    if (object && object->contains("from"))
+    {
+        const auto delta = decode_configuration_delta(answer.m_json);
+        if (!delta.ok())
+            co_return delta.status();
+        co_return apply_delta(*base, *delta);
+    }
     const auto* text = object ? object->if_contains("text") : nullptr;
     const auto* generation = object ? object->if_contains("generation") : nullptr;
     if (!text || !text->is_string() || !generation || !generation->is_number())
@@ -79,6 +89,19 @@
     co_return decoded;
 }
 
+/// The member "known" of the parameters; 0 when the caller has no configuration.
+std::uint64_t known_generation(std::string_view parameters)
+{
+    boost::system::error_code error;
+    const auto value = json::parse(json::string_view(parameters.data(), parameters.size()), error);
+    const auto* object = error ? nullptr : value.if_object();
+    const auto* known = object ? object->if_contains("known") : nullptr;
+    if (!known || !known->is_number())
+        return 0;
+    const auto number = known->to_number<std::uint64_t>(error);
+    return error ? 0 : number;
+}
+
 } // namespace
 
 class configuration_follower::impl : public std::enable_shared_from_this<impl>
@@ -160,7 +183,10 @@
 
     asio::awaitable<bool> fetch_from(const std::string& address)
     {
-        auto fetched = co_await fetch(m_strand, address);
+        const auto base = m_deltas ? m_state.published().load() : m_nothing;
+        auto fetched = co_await fetch(m_strand, address, base);
+        // After changes that do not fit, the whole configuration is asked for.
+        m_deltas = fetched.ok();
         if (!fetched.ok())
         {
             log_event(log_level::warning, "configuration_fetch_failed")
@@ -184,6 +210,8 @@
     configuration_state& m_state;
     change_handler m_on_change;
     std::map<std::string, candidate> m_candidates;
+    const std::shared_ptr<const configuration> m_nothing{std::make_shared<configuration>()};
+    bool m_deltas{true}; ///< Ask for changes only.
     bool m_running{false};
     std::atomic<bool> m_stopped{false};
 };
@@ -214,8 +242,10 @@
 {
     server.add(
         "configuration.get",
-        [&state](const std::string&) -> json_rpc_result
+        [&state](const std::string& parameters) -> json_rpc_result
         {
+            if (const auto delta = state.changes_since(known_generation(parameters)))
+                return {encode_configuration_delta(*delta), "", 0};
             const auto current = state.published().load();
             const json::object result{
                 {"generation", current->m_generation}, {"text", encode_configuration(*current)}};
--- a/src/configuration_state.cpp
+++ b/src/configuration_state.cpp
@@ -1,10 +1,20 @@
 #include <fulmaryard/configuration_state.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace fulmaryard
 {
 
+namespace
+{
+
+constexpr std::size_t max_removed = 4096;
+// At 9,600 changes a day, 2.5 hours, which is longer than regions lose connectivity.
+constexpr std::size_t max_seen = 1000;
+
+} // namespace
+
 configuration_state::configuration_state() : m_current(std::make_shared<const configuration>()) {}
 
 bool configuration_state::offer(std::shared_ptr<const configuration> candidate)
@@ -12,12 +22,76 @@
     // Serialises offers: comparing and publishing must be one step, or a lower generation that
     // was compared first could be published last.
     const std::lock_guard lock(m_mutex);
-    if (candidate->m_generation <= m_current.load()->m_generation)
+    const auto present = m_current.load();
+    if (candidate->m_generation <= present->m_generation)
         return false;
+    note_changes(*present, *candidate);
     m_current.publish(std::move(candidate));
     return true;
 }
 
+void configuration_state::note_changes(const configuration& before, const configuration& after)
+{
+    const std::uint64_t generation = after.m_generation;
+    // The first configuration of this process, or more removals than are worth remembering.
+    if (before.m_generation == 0 || m_removed.size() > max_removed)
+    {
+        m_changed.clear();
+        m_removed.clear();
+        m_seen = {generation};
+        return;
+    }
+    m_seen.push_back(generation);
+    if (m_seen.size() > max_seen)
+        m_seen.pop_front();
+    auto old = before.m_tenants.begin();
+    for (const auto& tenant : after.m_tenants)
+    {
+        for (; old != before.m_tenants.end() && old->m_tenant < tenant.m_tenant; ++old)
+        {
+            m_removed[old->m_tenant] = generation;
+            m_changed.erase(old->m_tenant);
+        }
+        const bool present = old != before.m_tenants.end() && old->m_tenant == tenant.m_tenant;
+        if (!present || *old != tenant)
+        {
+            m_changed[tenant.m_tenant] = generation;
+            m_removed.erase(tenant.m_tenant);
+        }
+        if (present)
+            ++old;
+    }
+    for (; old != before.m_tenants.end(); ++old)
+    {
+        m_removed[old->m_tenant] = generation;
+        m_changed.erase(old->m_tenant);
+    }
+}
+
+std::optional<configuration_delta> configuration_state::changes_since(std::uint64_t known) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto present = m_current.load();
+    if (known >= present->m_generation || !std::binary_search(m_seen.begin(), m_seen.end(), known))
+        return std::nullopt;
+    configuration_delta delta;
+    delta.m_from = known;
+    delta.m_changed.m_generation = present->m_generation;
+    delta.m_tenants = present->m_tenants.size();
+    for (const auto& tenant : present->m_tenants)
+    {
+        const auto changed = m_changed.find(tenant.m_tenant);
+        if (changed != m_changed.end() && changed->second > known)
+            delta.m_changed.m_tenants.push_back(tenant);
+    }
+    for (const auto& [tenant, generation] : m_removed)
+    {
+        if (generation > known)
+            delta.m_removed.push_back(tenant);
+    }
+    return delta;
+}
+
 std::uint64_t configuration_state::generation() const
 {
     return m_current.load()->m_generation;
