--- /dev/null
+++ b/benchmark/fleet_options.hpp
@@ -0,0 +1,37 @@
+#ifndef FULMARYARD_FLEET_OPTIONS_HPP
+#define FULMARYARD_FLEET_OPTIONS_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace fulmaryard::benchmark
+{
+
+/// The system under test: three layer ranges with two engines each.
+struct fleet_options
+{
+    static constexpr std::size_t m_ranges{3};
+    static constexpr std::uint32_t m_layers{12};
+
+    std::array<std::uint32_t, 2> m_step_time_us{10'000, 20'000}; ///< Of the engines of a range.
+    std::uint32_t m_batch_limit{16};
+    std::size_t m_entries{1};
+    std::string m_entry_settings; ///< Further lines of YAML.
+    bool m_relays{false};         ///< A relay between each side process and its engine.
+
+    /// Tokens a second that the engines allow: of each range the sum over its engines of the batch
+    /// limit over the step time, and the least of the ranges, which are alike here.
+    double bound() const
+    {
+        double sum = 0;
+        for (const std::uint32_t step : m_step_time_us)
+            sum += m_batch_limit * 1e6 / step;
+        return sum;
+    }
+};
+
+} // namespace fulmaryard::benchmark
+
+#endif
--- /dev/null
+++ b/benchmark/main.cpp
@@ -0,0 +1,55 @@
+// Benchmark of a whole system on loopback: fulmaryard_benchmark [SCENARIO...] [--seed N]
+// Scenarios: throughput, recovery, overload, faults; all when none is named.
+
+#include "report.hpp"
+#include "scenarios.hpp"
+
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <exception>
+#include <random>
+#include <set>
+#include <string>
+
+using namespace fulmaryard::benchmark;
+
+int main(int count, char** values)
+{
+    const std::set<std::string> known{"throughput", "recovery", "overload", "faults"};
+    std::set<std::string> wanted;
+    std::uint64_t seed = std::random_device()();
+    for (int i = 1; i < count; ++i)
+    {
+        const std::string word = values[i];
+        if (word == "--seed" && i + 1 < count)
+            seed = std::strtoull(values[++i], nullptr, 10);
+        else if (known.count(word) > 0)
+            wanted.insert(word);
+        else
+        {
+            fmt::print(stderr, "usage: fulmaryard_benchmark [SCENARIO...] [--seed N]\n");
+            return 2;
+        }
+    }
+    if (wanted.empty())
+        wanted = known;
+    try
+    {
+        report results;
+        if (wanted.count("throughput") > 0)
+            measure_throughput(results);
+        if (wanted.count("recovery") > 0)
+            measure_recovery(results);
+        if (wanted.count("overload") > 0)
+            measure_overload(results);
+        if (wanted.count("faults") > 0)
+            measure_faults(results, seed);
+        return results.conclude() ? 0 : 1;
+    }
+    catch (const std::exception& error)
+    {
+        fmt::print(stderr, "the benchmark failed: {}\n", error.what());
+        return 3;
+    }
+}
--- /dev/null
+++ b/benchmark/overload.cpp
@@ -0,0 +1,114 @@
+#include "fleet.hpp"
+#include "report.hpp"
+#include "scenarios.hpp"
+
+#include <fmt/format.h>
+
+namespace fulmaryard::benchmark
+{
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds duration{6000};
+constexpr std::chrono::milliseconds first_token_target{380};
+constexpr std::uint32_t mean_tokens = 20;
+constexpr double small_share = 0.05; ///< Of the plateau's load, for each small account.
+
+struct overload_figures
+{
+    double m_goodput{0};       ///< Tokens a second, see `measure`.
+    double m_small_success{0}; ///< Share of the small accounts' requests that completed.
+    double m_first_token_p95{0};
+    std::size_t m_accepted{0};
+    std::size_t m_refused{0};
+    std::size_t m_lost{0};
+    std::size_t m_wrong{0};
+};
+
+// Goodput counts the tokens of correct responses to requests that arrived in the run, whose first
+// token came within its target, over the time from the first arrival to the last token.
+overload_figures measure(double factor, const std::string& settings)
+{
+    fleet_options options;
+    options.m_entry_settings = settings;
+    fleet under_test(options);
+    const double plateau = options.bound() / mean_tokens;
+    load applied;
+    applied.m_addresses = under_test.addresses();
+    applied.m_mean_tokens = mean_tokens;
+    applied.m_duration = duration;
+    applied.m_finish = true;
+    // The small accounts keep their load: the growth is the large account's.
+    for (const char* account : {"small-1", "small-2", "small-3"})
+        applied.m_arrivals[account] = small_share * plateau;
+    applied.m_arrivals["large"] = (factor - 3 * small_share) * plateau;
+    const auto begin = steady::now() + std::chrono::seconds(2);
+    const auto end = begin + duration - std::chrono::seconds(2);
+    const auto outcomes = run_load(applied);
+    overload_figures figures;
+    std::size_t small = 0;
+    std::size_t small_completed = 0;
+    std::size_t good_tokens = 0;
+    std::vector<double> first_tokens;
+    for (const auto& each : outcomes)
+    {
+        const bool is_small = each->m_account != "large";
+        const bool correct = is_correct(*each);
+        small += is_small ? 1 : 0;
+        small_completed += is_small && correct ? 1 : 0;
+        figures.m_refused += each->m_result == stream_result::refused ? 1 : 0;
+        figures.m_lost += each->m_result == stream_result::lost ? 1 : 0;
+        figures.m_accepted += each->m_result == stream_result::completed ? 1 : 0;
+        if (each->m_arrivals.empty())
+            continue;
+        const auto first = each->m_arrivals.front() - each->m_started;
+        first_tokens.push_back(std::chrono::duration<double, std::milli>(first).count());
+        if (!correct || first > first_token_target)
+            continue;
+        for (const auto& time : each->m_arrivals)
+            good_tokens += time >= begin && time < end ? 1 : 0;
+    }
+    figures.m_goodput =
+        static_cast<double>(good_tokens) / std::chrono::duration<double>(end - begin).count();
+    figures.m_small_success = static_cast<double>(small_completed) / static_cast<double>(small);
+    figures.m_first_token_p95 = quantile(first_tokens, 0.95);
+    figures.m_wrong = count_wrong(outcomes);
+    return figures;
+}
+
+void add(report& results, const std::string& suffix, const overload_figures& figures)
+{
+    results.add("goodput_" + suffix, figures.m_goodput, "tokens/s");
+    results.add("first_token_p95_" + suffix, figures.m_first_token_p95, "ms");
+    results.add("accepted_" + suffix, static_cast<double>(figures.m_accepted), "requests");
+    results.add("refused_" + suffix, static_cast<double>(figures.m_refused), "requests");
+    results.add("small_account_success_" + suffix, figures.m_small_success, "ratio");
+    results.at_most(
+        "lost_" + suffix, static_cast<double>(figures.m_lost), "requests", 0,
+        "accepted, not ended");
+    results.at_most("wrong_" + suffix, static_cast<double>(figures.m_wrong), "requests", 0, "");
+}
+
+} // namespace
+
+void measure_overload(report& results)
+{
+    const auto plateau = measure(1, "");
+    add(results, "plateau", plateau);
+    const auto tenfold = measure(10, "");
+    add(results, "10x", tenfold);
+    results.at_least(
+        "goodput_at_10x", tenfold.m_goodput / plateau.m_goodput, "ratio", 0.95,
+        fmt::format(
+            "{:.0f} tokens/s at ten times, {:.0f} at the plateau", tenfold.m_goodput,
+            plateau.m_goodput));
+    // The longest target that the settings allow turns early refusal off.
+    const auto naive = measure(10, "first_token_target_ms: 10000\n");
+    add(results, "10x_naive", naive);
+    results.add("goodput_at_10x_naive", naive.m_goodput / plateau.m_goodput, "ratio");
+}
+
+} // namespace fulmaryard::benchmark
--- /dev/null
+++ b/benchmark/recovery.cpp
@@ -0,0 +1,165 @@
+#include "fleet.hpp"
+#include "report.hpp"
+#include "scenarios.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <thread>
+
+namespace fulmaryard::benchmark
+{
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+using milliseconds_f = std::chrono::duration<double, std::milli>;
+
+// A stream has about 500 tokens after 2.5 s: a token takes three steps of 1 ms and the hops.
+constexpr std::chrono::milliseconds time_before_failure{2500};
+constexpr std::chrono::milliseconds time_after_failure{2500};
+// Streams of a system without a failure have no gap of this length.
+constexpr milliseconds_f shortest_interruption{40};
+
+struct failure_case
+{
+    const char* m_name;
+    double m_target_ms; ///< 250 ms after detection, which takes 500 ms for a silent connection.
+    std::function<void(fleet&)> m_fail;
+    std::function<void(fleet&)> m_repair;
+};
+
+std::vector<failure_case> failure_cases()
+{
+    const auto side = fleet::side(1, 0);
+    const auto engine = fleet::engine(1, 0);
+    const auto relay = fleet::relay(1, 0);
+    return {
+        {"side", 250, [=](fleet& f) { f.system().kill(side); },
+         [=](fleet& f)
+         {
+             f.system().restart(side);
+             f.wait_for_side(side);
+         }},
+        {"engine", 250, [=](fleet& f) { f.system().kill(engine); },
+         [=](fleet& f)
+         {
+             f.system().restart(engine);
+             f.wait_for_side(side);
+         }},
+        {"silent", 750, [=](fleet& f) { f.system().inject(relay, R"({"kind": "silent"})"); },
+         [=](fleet& f) { f.wait_for_side(side); }},
+        {"entry", 250, [=](fleet& f) { f.system().kill("entry-1"); },
+         [=](fleet& f) { f.system().restart("entry-1"); }},
+    };
+}
+
+struct recovery_figures
+{
+    std::vector<double> m_times_ms;
+    double m_tokens_at_failure{0}; ///< Mean.
+    std::size_t m_never{0};        ///< Streams that got no token after the failure.
+};
+
+recovery_figures measure_one(fleet& under_test, const failure_case& failure)
+{
+    load applied;
+    // All streams start at the first entry and reconnect to the second.
+    applied.m_addresses = {under_test.addresses()[0]};
+    applied.m_clients = {{"large", 16}};
+    applied.m_mean_tokens = 2600;
+    applied.m_duration = time_before_failure + time_after_failure;
+    applied.m_resumable = true;
+    applied.m_reconnect_addresses = {under_test.addresses()[1]};
+    steady::time_point failed_at;
+    std::thread fault(
+        [&]
+        {
+            std::this_thread::sleep_for(time_before_failure);
+            failed_at = steady::now();
+            failure.m_fail(under_test);
+        });
+    const auto outcomes = run_load(applied);
+    fault.join();
+    recovery_figures figures;
+    std::size_t streams = 0;
+    for (const auto& each : outcomes)
+    {
+        const auto& arrivals = each->m_arrivals;
+        std::size_t before = 0;
+        while (before < arrivals.size() && arrivals[before] < failed_at)
+            ++before;
+        if (before == 0)
+            continue;
+        ++streams;
+        figures.m_tokens_at_failure += static_cast<double>(before);
+        // Tokens already on their way still arrive, so the interruption is the longest gap.
+        milliseconds_f longest{0};
+        milliseconds_f recovered{0};
+        for (std::size_t i = before; i < arrivals.size(); ++i)
+        {
+            const milliseconds_f gap = arrivals[i] - arrivals[i - 1];
+            if (gap > longest)
+            {
+                longest = gap;
+                recovered = arrivals[i] - failed_at;
+            }
+        }
+        const bool has_ended = each->m_result == stream_result::lost;
+        if (before == arrivals.size() || has_ended)
+            ++figures.m_never;
+        else if (longest > shortest_interruption)
+            figures.m_times_ms.push_back(recovered.count());
+    }
+    figures.m_tokens_at_failure /= static_cast<double>(std::max<std::size_t>(streams, 1));
+    return figures;
+}
+
+void measure_strategy(report& results, const std::string& strategy, const std::string& suffix)
+{
+    fleet_options options;
+    options.m_step_time_us = {1000, 1000};
+    options.m_batch_limit = 32;
+    options.m_entries = 2;
+    options.m_relays = true;
+    options.m_entry_settings = "recovery: " + strategy + "\n";
+    fleet under_test(options);
+    for (const auto& failure : failure_cases())
+    {
+        const auto figures = measure_one(under_test, failure);
+        const std::string name = fmt::format("recovery_{}{}", failure.m_name, suffix);
+        if (figures.m_times_ms.empty() && figures.m_never == 0)
+            results.missing(name, "no stream was interrupted");
+        results.add(name + "_tokens_before", figures.m_tokens_at_failure, "tokens");
+        results.add(
+            name + "_interrupted", static_cast<double>(figures.m_times_ms.size()), "streams");
+        const double median = quantile(figures.m_times_ms, 0.5);
+        const double tail = quantile(figures.m_times_ms, 0.99);
+        results.add(name + "_p50", median, "ms");
+        if (suffix.empty())
+        {
+            results.at_most(name + "_p99", tail, "ms", failure.m_target_ms, "");
+            results.at_most(
+                name + "_lost", static_cast<double>(figures.m_never), "streams", 0,
+                "streams without a token after the failure");
+        }
+        else
+        {
+            results.add(name + "_p99", tail, "ms");
+            results.add(name + "_lost", static_cast<double>(figures.m_never), "streams");
+        }
+        failure.m_repair(under_test);
+    }
+}
+
+} // namespace
+
+void measure_recovery(report& results)
+{
+    measure_strategy(results, "rebuild_stage", "");
+    measure_strategy(results, "restart", "_naive");
+}
+
+} // namespace fulmaryard::benchmark
--- /dev/null
+++ b/benchmark/stream_job.hpp
@@ -0,0 +1,26 @@
+#ifndef FULMARYARD_STREAM_JOB_HPP
+#define FULMARYARD_STREAM_JOB_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fulmaryard::benchmark
+{
+
+/// One streamed chat completion to request.
+struct stream_job
+{
+    std::vector<std::string> m_addresses; ///< Of entries; a reconnection uses the next one.
+    std::string m_account;
+    std::string m_request_id;
+    std::string m_content;
+    std::uint32_t m_max_tokens{0};
+    bool m_resumable{false}; ///< Reconnect with the last event id when the connection breaks.
+    std::chrono::steady_clock::time_point m_stop; ///< Stop reading and disconnect.
+};
+
+} // namespace fulmaryard::benchmark
+
+#endif
--- /dev/null
+++ b/benchmark/stream_outcome.hpp
@@ -0,0 +1,39 @@
+#ifndef FULMARYARD_STREAM_OUTCOME_HPP
+#define FULMARYARD_STREAM_OUTCOME_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fulmaryard::benchmark
+{
+
+/// How a stream ended for the caller.
+enum class stream_result
+{
+    completed,
+    refused, ///< A response other than 200, or no connection, before the first event.
+    lost,    ///< Accepted, and then neither complete nor stopped by the caller.
+    stopped, ///< The caller stopped reading.
+};
+
+/// What a caller saw of one stream.
+struct stream_outcome
+{
+    stream_result m_result{stream_result::refused};
+    std::string m_account;
+    std::string m_content;
+    std::uint32_t m_max_tokens{0};
+    std::string m_text;
+    std::string m_error; ///< Why it was refused or lost.
+    std::string m_last_id;
+    std::chrono::steady_clock::time_point m_started;
+    std::vector<std::chrono::steady_clock::time_point> m_arrivals; ///< One per token.
+    std::uint32_t m_repeated{0}; ///< Tokens that the caller received more than once.
+    std::uint32_t m_reconnections{0};
+};
+
+} // namespace fulmaryard::benchmark
+
+#endif
