Admit two streams per place in the engines' batches

Cause: admission allowed as many streams as the batch limits of all engines add up to, so on average just one full batch per engine, and an engine that finished a step found only part of the next batch waiting.

--- a/src/admission_gate.cpp
+++ b/src/admission_gate.cpp
@@ -15,6 +15,9 @@
 
 // The queue decides within the first-token target and one tick; this only bounds a fault.
 constexpr std::chrono::seconds longest_wait{10};
+// Streams admitted per place in the engines' batches. With one, an engine whose streams are at
+// other stages runs steps that are not full; with two, a batch waits while another runs.
+constexpr std::size_t streams_per_place = 2;
 
 } // namespace
 
@@ -68,7 +71,7 @@
     const std::lock_guard lock(m_mutex);
     const auto now = std::chrono::steady_clock::now();
     const std::size_t count = m_admission.entries(now);
-    deliver(m_admission.set_capacity((batch_limits + count - 1) / count, now));
+    deliver(m_admission.set_capacity((batch_limits * streams_per_place + count - 1) / count, now));
     deliver(m_admission.on_tick(now));
 }
 
