--- a/tests/process/stream_caller_test.cpp
+++ b/tests/process/stream_caller_test.cpp
@@ -62,8 +62,9 @@
 {
     constexpr std::uint32_t tokens = 150;
     model_system system(2);
-    running_stream stream(
-        system.address("entry-1"), model_system::chat("shop", content, tokens, "request-1"));
+    http_request begun = model_system::chat("shop", content, tokens, "request-1");
+    begun.m_fields.push_back({"X-Fulmaryard-Resumable", "true"});
+    running_stream stream(system.address("entry-1"), begun);
     stream.read_tokens(40);
     REQUIRE(stream.tokens() >= 40);
 
@@ -97,6 +98,19 @@
                 prompt_positions + tokens - 1);
         }
     }
+    WHEN("only its connection breaks, and it returns to the same entry")
+    {
+        stream.reconnect(system.address("entry-1"));
+        stream.read_to_end();
+        THEN("it gets exactly the rest, and no layer runs again")
+        {
+            CHECK(stream.done());
+            CHECK(stream.text() == model_system::reference(content, tokens));
+            system.check_layers_once(
+                stream.locator().m_stream, engines_of(system, stream),
+                prompt_positions + tokens - 1);
+        }
+    }
     WHEN("its entry and the side process of a stage are killed at once")
     {
         // The stage is lost with the only owner that could replace it: the next one has to.
