--- a/include/fulmaryard/stream_owner.hpp
+++ b/include/fulmaryard/stream_owner.hpp
@@ -78,6 +78,7 @@
     const std::vector<stage_assignment>& plan() const;
     std::uint32_t delivered() const;    ///< Tokens given to the caller.
     std::uint32_t replacements() const; ///< Stages replaced so far.
+    bool has_run() const; ///< Every stage has accepted a plan, under this owner or an earlier one.
 
     /// State as a JSON object.
     std::string dump() const;
--- a/src/stream_owner.cpp
+++ b/src/stream_owner.cpp
@@ -85,6 +85,7 @@
     std::map<std::string, process_record> m_processes;
     std::uint32_t m_replacements{0};
     bool m_started{false}; ///< Some stage has accepted a plan.
+    bool m_has_run{false}; ///< Every stage has accepted a plan.
     time_point m_now;
     time_point m_began;
     time_point m_token_seen;
@@ -234,6 +235,7 @@
         if (m_phase != life_cycle::opening || !all)
             return;
         m_phase = life_cycle::running;
+        m_has_run = true;
         if (m_epoch.m_number > 1)
             pull_tokens();
     }
@@ -407,6 +409,7 @@
     m_state->m_delivered = next_index;
     m_state->m_answer_complete = attached.m_finished;
     m_state->m_started = true; // A stage holds the stream.
+    m_state->m_has_run = true;
 }
 
 stream_owner::~stream_owner() = default;
@@ -522,6 +525,11 @@
     return m_state->m_replacements;
 }
 
+bool stream_owner::has_run() const
+{
+    return m_state->m_has_run;
+}
+
 std::string stream_owner::dump() const
 {
     boost::json::array plan;
