Revert "Bound the links of an entry to the endpoints of a stage"

Its process test showed that apply then fails: an entry learns the generation of a side process only from load reports on a link, so in force on N of N cannot be reached for side processes without a link.

--- a/include/fulmaryard/endpoint.hpp
+++ b/include/fulmaryard/endpoint.hpp
@@ -25,8 +25,6 @@
     endpoint_state m_state{endpoint_state::silent};
     load_report m_report;
     std::uint32_t m_others_outstanding{0}; ///< Reported work that was not of this entry.
-    /// Endpoints of its stage for each one that this entry keeps a link to.
-    double m_represented{1};
     std::shared_ptr<endpoint_counters> m_counters;
 
     /// Own current and others' lagging work.
--- a/include/fulmaryard/endpoint_directory.hpp
+++ b/include/fulmaryard/endpoint_directory.hpp
@@ -3,11 +3,9 @@
 
 #include <fulmaryard/directory_view.hpp>
 #include <fulmaryard/instance_list.hpp>
-#include <fulmaryard/link_preference.hpp>
 #include <fulmaryard/snapshot.hpp>
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -25,7 +23,7 @@
 class endpoint_directory
 {
 public:
-    explicit endpoint_directory(link_preference preference = {});
+    endpoint_directory();
 
     /// Side processes whose links should be opened or closed.
     struct link_changes
@@ -37,14 +35,6 @@
     /// A process that is missing from the list is kept while its link is up, since the list lags.
     link_changes on_instances(const instance_list& list);
 
-    /// Bounds the links by the preference. What an endpoint runs is known from its first report, so
-    /// each is linked once; then those beyond the bound that have no work of this entry are let go
-    /// in two calls, between which they get no new work. Of one stage, half of the links go to the
-    /// nearest endpoints and half to any of the region, by rendezvous hash of the entry. Endpoints
-    /// of services are not bounded, since all entries must prefer the same one for a key. Call it
-    /// every second or so.
-    link_changes choose_links();
-
     /// A side process opened a link to this entry; returns whether it was unknown, as it is while
     /// the list lags or cannot be read, and should be pinned.
     bool on_peer_hello(const hello& peer);
@@ -70,22 +60,12 @@
         bool m_listed_leaving{false};
         bool m_link_up{false};
         bool m_reported{false};
-        std::string m_region;
-        std::string m_failure_domain;
-        std::uint64_t m_rank{0}; ///< Rendezvous hash.
-        bool m_pinned{false};
-        bool m_down{false};   ///< Reconnecting failed.
-        bool m_parked{false}; ///< Gets no new work, since its link is being let go.
     };
 
     record& at(const std::string& address);
-    link_changes choose_links_locked();
-    void choose_stage_links(std::vector<record*>& stage, link_changes& changes);
-    void pin(record& known, link_changes& changes);
     void publish();
     static endpoint_state state_of(const record& known);
 
-    link_preference m_preference;
     mutable std::mutex m_mutex;
     std::map<std::string, record> m_records;
     bool m_dirty{false};
--- a/include/fulmaryard/entry_settings.hpp
+++ b/include/fulmaryard/entry_settings.hpp
@@ -35,8 +35,6 @@
     std::uint32_t m_request_deadline_ms{10000}; ///< To receive a whole request, milliseconds.
     std::uint32_t m_first_token_target_ms{
         380}; ///< Admission refuses when the expected wait is longer, milliseconds.
-    std::uint32_t m_links_per_stage{
-        0}; ///< Links kept to side processes of the same layers; 0 for all of them.
     std::string m_planner{"least_wait"};     ///< "least_wait" or "round_robin".
     std::string m_recovery{"rebuild_stage"}; ///< "rebuild_stage" or "restart".
 
--- a/include/fulmaryard/peer_listener.hpp
+++ b/include/fulmaryard/peer_listener.hpp
@@ -26,9 +26,6 @@
     /// A peer opened a link to this process. What it sent on an earlier link may be lost.
     virtual void on_peer_hello(const hello& peer) = 0;
 
-    /// A link that a peer opened has ended.
-    virtual void on_peer_closed(const hello&) {}
-
     virtual void on_peer_message(const hello& from, peer_message message) = 0;
 };
 
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -49,7 +49,6 @@
 {
 
 constexpr std::chrono::milliseconds tick_interval{50};
-constexpr std::chrono::milliseconds links_interval{1000};
 constexpr std::chrono::milliseconds ask_interval{500}; ///< For the configuration of peers.
 // Shortest drain: requests on their way when `/readyz` turns off still get an answer.
 constexpr std::chrono::milliseconds shortest_drain{500};
@@ -247,7 +246,6 @@
     http_response list_models(const request_context& context) const;
     void finish(const request_context& context, const request_record& record);
 
-    void change_links(const endpoint_directory::link_changes& changes);
     void on_instances(const instance_list& list);
     asio::awaitable<void> ask_fixed_peers();
     asio::awaitable<void> tick();
@@ -427,19 +425,15 @@
         {"links", std::move(links)}});
 }
 
-void entry_process::impl::change_links(const endpoint_directory::link_changes& changes)
+void entry_process::impl::on_instances(const instance_list& list)
 {
+    m_services->m_reached_others = true;
+    m_status.set_instances(list);
+    const auto changes = m_services->m_directory.on_instances(list);
     for (const auto& address : changes.m_pin)
         m_links.pin(address);
     for (const auto& address : changes.m_unpin)
         m_links.unpin(address);
-}
-
-void entry_process::impl::on_instances(const instance_list& list)
-{
-    m_services->m_reached_others = true;
-    m_status.set_instances(list);
-    change_links(m_services->m_directory.on_instances(list));
     const auto entries = entries_of(list);
     m_use->set_entries(entries);
     m_controller.watch_platform(
@@ -494,26 +488,20 @@
 asio::awaitable<void> entry_process::impl::tick()
 {
     asio::steady_timer timer(m_io);
-    auto next_links = std::chrono::steady_clock::now();
     while (true)
     {
         refresh_index();
         m_services->m_directory.publish_load();
-        if (const auto now = std::chrono::steady_clock::now(); now >= next_links)
-        {
-            next_links = now + links_interval;
-            change_links(m_services->m_directory.choose_links());
-        }
-        double batch_limits = 0;
+        std::size_t batch_limits = 0;
         const auto view = m_services->m_directory.published().load();
         for (const auto& known : view->m_endpoints)
         {
             const auto& report = known.m_report;
             if (known.m_state == endpoint_state::live && report.m_engine_up &&
                 !report.m_model.empty())
-                batch_limits += report.m_batch_limit * known.m_represented;
+                batch_limits += report.m_batch_limit;
         }
-        m_services->m_gate->on_tick(static_cast<std::size_t>(batch_limits));
+        m_services->m_gate->on_tick(batch_limits);
         if (m_lifecycle.phase() == lifecycle_phase::starting && m_indexed->m_generation > 0 &&
             m_services->m_reached_others && m_lifecycle.become_ready())
             log_event(log_level::info, "ready").with("generation", m_indexed->m_generation);
--- a/src/entry_services.cpp
+++ b/src/entry_services.cpp
@@ -23,9 +23,6 @@
     : m_settings(std::move(settings)),
       m_process(std::move(process)),
       m_metrics(registry),
-      m_directory(
-          {m_settings.m_peer_listen, m_settings.m_region, m_settings.m_failure_domain,
-           m_settings.m_links_per_stage}),
       m_planner(make_planning_strategy(m_settings.m_planner), std::random_device{}()),
       m_gate(std::make_shared<admission_gate>(admission_settings_of(m_settings))),
       m_index(std::make_shared<configuration_index>(std::make_shared<fulmaryard::configuration>()))
--- a/src/peer_links.cpp
+++ b/src/peer_links.cpp
@@ -130,15 +130,13 @@
             co_await stream->async_write(asio::buffer(greeting), use_tuple);
         if (write_error)
             co_return;
-        hello peer;
-        co_await receive(*stream, peer);
-        if (!m_stopped && !peer.m_process.empty())
-            m_listener.on_peer_closed(peer);
+        co_await receive(*stream);
         beast::get_lowest_layer(*stream).close();
     }
 
-    asio::awaitable<void> receive(outbound_link::websocket& stream, hello& peer)
+    asio::awaitable<void> receive(outbound_link::websocket& stream)
     {
+        hello peer;
         beast::flat_buffer buffer;
         while (!m_stopped)
         {
@@ -159,9 +157,6 @@
                 co_return;
             if (const auto* greeting = std::get_if<hello>(&*message))
             {
-                // One for each link, so that each is closed as often as it was opened.
-                if (!peer.m_process.empty())
-                    co_return;
                 peer = *greeting;
                 m_listener.on_peer_hello(peer);
             }
--- a/src/settings_fields.hpp
+++ b/src/settings_fields.hpp
@@ -42,7 +42,6 @@
     field{
         "first_token_target_ms", &entry_settings::m_first_token_target_ms,
         field_rules{false, 1, 3'600'000}},
-    field{"links_per_stage", &entry_settings::m_links_per_stage, field_rules{false, 0, 10'000}},
     field{"planner", &entry_settings::m_planner, field_rules{false, 0, 0, check_planner}},
     field{"recovery", &entry_settings::m_recovery, field_rules{false, 0, 0, check_recovery}}};
 
--- a/src/side_process.cpp
+++ b/src/side_process.cpp
@@ -237,27 +237,11 @@
 
     void on_peer_up(const hello& peer) override { on_connected(peer); }
 
-    void on_peer_hello(const hello& peer) override
-    {
-        if (peer.m_role == "entry")
-            asio::post(m_report_strand, [this, address = peer.m_address] { ++m_entries[address]; });
-        on_connected(peer);
-    }
-
-    void on_peer_closed(const hello& peer) override
-    {
-        asio::post(
-            m_report_strand,
-            [this, address = peer.m_address]
-            {
-                const auto found = m_entries.find(address);
-                if (found != m_entries.end() && --found->second == 0)
-                    m_entries.erase(found);
-            });
-    }
+    void on_peer_hello(const hello& peer) override { on_connected(peer); }
 
     void on_peer_down(const std::string& address) override
     {
+        asio::post(m_report_strand, [this, address] { m_entries.erase(address); });
         for (std::size_t i = 0; i < m_shards.size(); ++i)
             post_to_shard(
                 i,
@@ -520,8 +504,8 @@
                 m_report_strand,
                 [this, address = peer.m_address]
                 {
-                    if (m_entries.contains(address))
-                        m_links.send(address, make_report());
+                    m_entries.insert_or_assign(address, true);
+                    m_links.send(address, make_report());
                 });
         }
         for (std::size_t i = 0; i < m_shards.size(); ++i)
@@ -1083,8 +1067,7 @@
 
     io_strand m_report_strand;
     asio::steady_timer m_report_timer;
-    /// Entries that get load reports, with the number of links that they hold open to this process.
-    std::map<std::string, unsigned> m_entries;
+    std::map<std::string, bool> m_entries; ///< Addresses that get load reports.
 
     io_strand m_gate_strand;
     order_gate m_gate;
--- a/tests/process/system_test.cpp
+++ b/tests/process/system_test.cpp
@@ -5,11 +5,6 @@
 #include <doctest/doctest.h>
 #include <fmt/core.h>
 
-#include <chrono>
-#include <string>
-#include <thread>
-#include <vector>
-
 using namespace fulmaryard;
 using namespace fulmaryard::process_tests;
 namespace json = boost::json;
@@ -75,70 +70,4 @@
     CHECK(system.client("worker").get_json("/orders").at("orders").as_array().size() == 1);
 }
 
-TEST_CASE("an entry with bounded links serves while the endpoints that it is linked to are lost")
-{
-    // Guards against a bound that leaves a stage unserved, and against side processes that go on
-    // reporting to an entry that has let them go.
-    test_system system;
-    std::string file; // Written when one engine runs all layers, so that there is one stage.
-    for (const char* number : {"1", "2", "3"})
-    {
-        const std::string engine = std::string("engine-") + number;
-        system.add_engine(engine, {0, 12}, 12);
-        system.add_engine_side(std::string("side-") + number, engine, "domain-1");
-        if (file.empty())
-            file = system.make_configuration("kitwerk", {"shop"});
-    }
-    system.add_entry("entry-1", "domain-1", "links_per_stage: 1\n");
-    REQUIRE(system.apply("entry-1", file) == 0);
-    REQUIRE(system.wait_ready("entry-1").ok());
-    const auto live = [&]
-    {
-        std::vector<std::string> addresses;
-        const test_client peers(system.control("entry-1"));
-        const json::value state = peers.get_json("/dump");
-        for (const auto& each : state.at("endpoints").as_array())
-        {
-            if (each.at("state").as_string() == "live")
-                addresses.emplace_back(each.at("address").as_string());
-        }
-        return addresses;
-    };
-    const auto wait_for_one = [&](const std::string& other_than)
-    {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(15);
-        auto found = live();
-        while ((found.size() != 1 || found[0] == other_than) &&
-               std::chrono::steady_clock::now() < end)
-        {
-            std::this_thread::sleep_for(std::chrono::milliseconds(50));
-            found = live();
-        }
-        return found;
-    };
-    std::string lost;
-    for (int round = 0; round < 3; ++round)
-    {
-        const auto linked = wait_for_one(lost);
-        REQUIRE(linked.size() == 1);
-        const std::string content = fmt::format("plasters {}", round);
-        const auto answer =
-            test_client::complete({system.address("entry-1")}, chat("shop", content, 20));
-        REQUIRE(answer.ok());
-        CHECK(
-            answer->m_text ==
-            standins::compute_reference(test_system::chat_prompt(content), 12, 20).m_text);
-        lost = linked[0];
-        for (const char* side : {"side-1", "side-2", "side-3"})
-        {
-            if (system.address(side) == lost)
-                system.kill(side);
-        }
-    }
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-    while (!live().empty() && std::chrono::steady_clock::now() < end)
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    CHECK(live().empty());
-}
-
 TEST_SUITE_END();
