Leave time for the first token when a request waits for admission

Cause: a request could wait in the queue for the whole first-token target, so that at ten times the load most accepted responses began late. The entry now measures the time from admission to the first token and refuses after the target less this time (mean and two mean deviations, at least one tick remains).

--- a/benchmark/faults.cpp
+++ b/benchmark/faults.cpp
@@ -135,7 +135,7 @@
         }
     }
 
-    // Counts positions that one session of an engine ran more than once, and empties the journal.
+    // Counts positions that one session of an engine ran more than once.
     void read_journal(std::size_t range, std::size_t index)
     {
         const auto client = m_fleet.system().client(fleet::engine(range, index));
--- a/benchmark/stream_client.cpp
+++ b/benchmark/stream_client.cpp
@@ -153,7 +153,12 @@
                 data = line.substr(6);
         }
         if (!id.empty())
+        {
             m_outcome.m_last_id = std::string(id);
+            const auto plan = id.substr(0, id.rfind('.'));
+            if (m_outcome.m_plans.empty() || m_outcome.m_plans.back().second != plan)
+                m_outcome.m_plans.emplace_back(m_outcome.m_arrivals.size(), plan);
+        }
         if (data == "[DONE]")
             return connection_end::complete;
         json::error_code error;
--- a/benchmark/stream_outcome.hpp
+++ b/benchmark/stream_outcome.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fulmaryard::benchmark
@@ -30,6 +31,8 @@
     std::string m_last_id;
     std::chrono::steady_clock::time_point m_started;
     std::vector<std::chrono::steady_clock::time_point> m_arrivals; ///< One per token.
+    /// Plans as named in the event ids, each with the number of tokens before it.
+    std::vector<std::pair<std::size_t, std::string>> m_plans;
     std::uint32_t m_repeated{0}; ///< Tokens that the caller received more than once.
     std::uint32_t m_reconnections{0};
 };
--- a/include/fulmaryard/admission.hpp
+++ b/include/fulmaryard/admission.hpp
@@ -79,7 +79,14 @@
     /// This entry's part of the streams that the endpoints can run at a time.
     decisions set_capacity(std::size_t streams, time_point now);
 
-    /// Refuses what has waited longer than the first-token target. Call every 50 ms or so.
+    /// Time from the admission of a stream to its first token, which the wait in the queue must
+    /// leave free within the first-token target.
+    void on_first_token(std::chrono::nanoseconds since_admission);
+
+    /// Longest wait in the queue after which the first token is still expected in time.
+    std::chrono::nanoseconds longest_wait() const;
+
+    /// Refuses what has waited longer than `longest_wait`. Call every 50 ms or so.
     decisions on_tick(time_point now);
 
     /// Requests per second by account, measured here, to report to the other entries.
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -4,6 +4,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <string_view>
 #include <utility>
@@ -21,7 +22,8 @@
 constexpr std::uint64_t tokens_per_turn = 512;
 constexpr std::uint64_t max_cost = 16 * tokens_per_turn;
 constexpr std::chrono::milliseconds default_retry_after{1000};
-constexpr double smallest_reported_rate = 0.01; ///< Requests per second.
+constexpr std::chrono::milliseconds shortest_queue{50}; ///< One tick.
+constexpr double smallest_reported_rate = 0.01;         ///< Requests per second.
 
 std::chrono::milliseconds to_milliseconds(seconds_f duration)
 {
@@ -246,7 +248,9 @@
     std::size_t m_streams{0};
     std::size_t m_capacity{0};
     std::uint64_t m_arrivals{0};
-    seconds_f m_mean_hold{0}; ///< Moving average of the time that a stream runs.
+    seconds_f m_mean_hold{0};             ///< Moving average of the time that a stream runs.
+    seconds_f m_mean_first_token{0};      ///< Moving average from admission to the first token.
+    seconds_f m_first_token_deviation{0}; ///< Moving average of the absolute deviation from it.
     time_point m_reported;
     bool m_has_reported{false};
 };
@@ -312,8 +316,7 @@
     // accounts' queues do not count, or a large account would get a small one refused.
     const seconds_f queue_wait = static_cast<double>(known.m_queue.size() + 1) * self.m_mean_hold /
                                  static_cast<double>(std::max<std::size_t>(self.m_capacity, 1));
-    const bool late = self.m_settings.m_order == queue_order::fair &&
-                      queue_wait > self.m_settings.m_first_token_target;
+    const bool late = self.m_settings.m_order == queue_order::fair && queue_wait > longest_wait();
     if (late ||
         (self.m_queued.size() >= self.m_settings.m_max_queued && !self.make_room(known, decided)))
     {
@@ -361,16 +364,43 @@
     return decided;
 }
 
+void admission::on_first_token(std::chrono::nanoseconds since_admission)
+{
+    auto& self = *m_state;
+    const seconds_f sample = since_admission;
+    if (self.m_mean_first_token.count() == 0)
+    {
+        self.m_mean_first_token = sample;
+        return;
+    }
+    const seconds_f deviation{std::abs((sample - self.m_mean_first_token).count())};
+    self.m_first_token_deviation = 0.9 * self.m_first_token_deviation + 0.1 * deviation;
+    self.m_mean_first_token = 0.9 * self.m_mean_first_token + 0.1 * sample;
+}
+
+std::chrono::nanoseconds admission::longest_wait() const
+{
+    const auto& self = *m_state;
+    // Two mean deviations above the mean cover about 95% of the streams.
+    const seconds_f reserved = self.m_mean_first_token + 2 * self.m_first_token_deviation;
+    const seconds_f left = self.m_settings.m_first_token_target - reserved;
+    // A short queue remains, so that a stream that ends is followed by another at once.
+    const seconds_f wait = std::max(left, seconds_f(shortest_queue));
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(
+        std::min(wait, seconds_f(self.m_settings.m_first_token_target)));
+}
+
 admission::decisions admission::on_tick(time_point now)
 {
     auto& self = *m_state;
     decisions decided;
     std::vector<std::pair<std::string, state::queue_key>> late;
+    const auto wait_limit = longest_wait();
     for (const auto& name : self.m_turns)
     {
         for (const auto& [key, waiting] : self.m_accounts[name].m_queue)
         {
-            if (now - waiting.m_arrived < self.m_settings.m_first_token_target)
+            if (now - waiting.m_arrived < wait_limit)
                 continue;
             late.emplace_back(name, key);
             decided.push_back(self.refuse(
--- a/src/admission_gate.cpp
+++ b/src/admission_gate.cpp
@@ -75,6 +75,12 @@
     deliver(m_admission.on_tick(now));
 }
 
+void admission_gate::on_first_token(std::chrono::nanoseconds since_admission)
+{
+    const std::lock_guard lock(m_mutex);
+    m_admission.on_first_token(since_admission);
+}
+
 std::map<std::string, double> admission_gate::use()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/admission_gate.hpp
+++ b/src/admission_gate.hpp
@@ -37,6 +37,8 @@
     /// over all live endpoints, of which this entry takes its part.
     void on_tick(std::size_t batch_limits);
 
+    void on_first_token(std::chrono::nanoseconds since_admission);
+
     std::map<std::string, double> use();
     void on_peer_use(const std::string& address, std::map<std::string, double> use);
 
--- a/src/model_stream.cpp
+++ b/src/model_stream.cpp
@@ -68,6 +68,7 @@
 {
     m_owner = std::make_unique<stream_owner>(
         owner_settings(), make_stream_id(), m_request, std::move(plan));
+    m_admitted = std::chrono::steady_clock::now();
     begin(std::move(lease));
 }
 
@@ -177,6 +178,8 @@
         {
             m_first_token = now - m_arrived;
             m_services->m_metrics.m_first_token.record(*m_first_token);
+            if (m_admitted)
+                m_services->m_gate->on_first_token(now - *m_admitted);
         }
         else
             m_services->m_metrics.m_inter_token.record(now - m_last_token);
--- a/src/model_stream.hpp
+++ b/src/model_stream.hpp
@@ -104,6 +104,7 @@
     time_point m_last_token;
     std::optional<time_point> m_recovering_since;
     std::optional<std::chrono::nanoseconds> m_first_token;
+    std::optional<time_point> m_admitted; ///< Empty for a stream taken over from another entry.
     std::vector<std::shared_ptr<endpoint_counters>> m_counters;
     std::vector<stage_assignment> m_counted_plan; ///< What `m_counters` belongs to.
 };
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -245,6 +245,22 @@
         CHECK(outcome_of(refused[0].m_status) == outcome::not_run);
         CHECK(gate.release(1, start + 381ms).empty());
     }
+    SUBCASE("a queued request waits so long that its first token would be late")
+    {
+        // Guards against a queue that uses up the first-token target before the stream runs.
+        gate.request(account, make_request(1), start);
+        gate.on_first_token(200ms);
+        CHECK(gate.longest_wait() == 180ms);
+        CHECK(gate.request(account, make_request(2), start).empty());
+        CHECK(gate.on_tick(start + 179ms).empty());
+        const auto refused = gate.on_tick(start + 180ms);
+        REQUIRE(refused.size() == 1);
+        CHECK(outcome_of(refused[0].m_status) == outcome::not_run);
+        // A stream that takes the whole target still leaves a queue of one tick.
+        for (int i = 0; i < 100; ++i)
+            gate.on_first_token(1s);
+        CHECK(gate.longest_wait() == 50ms);
+    }
     SUBCASE("a withdrawn request")
     {
         gate.request(account, make_request(1), start);
