Answer or drop malformed input without unbounded memory, crashes or silence

Faults that the new test suite bad_input found, with what it saw:

- A request slower than the deadline got no answer: the stream's own deadline closes the socket before the 408 can be written.
A timer now cancels the read and leaves the socket open.
Before: 0 bytes received; after: 408.
- A peer message of 60 bytes with a false text length made an entry or side process fill 512 MiB (peak 541 MB instead of 18 MB), since cereal's input archive resizes before it reads. peer_input_archive refuses lengths beyond the bytes received.
- JSON nested beyond jsoncpp's limit at /rpc ended the connection by an exception without an answer, and left the request counted as in flight, which would hold a drain.
It is now answered with a parse error, the count is released in every case, and such exceptions are logged.
- A malformed response of a peer ended the process: jsoncpp throws inside the library's client, whose throw() specifications terminate.
The response is checked before it is handed over.
- A failure kind out of range in a peer message was read beyond the table.
- Errors of the HTTP parser and of the administration API had no request_id.

Ruled out: deep JSON and YAML nesting at the caller and administration APIs (both answered with 400 before), memory per idle connection (7.6 KB).

--- a/src/administration_api.cpp
+++ b/src/administration_api.cpp
@@ -7,6 +7,7 @@
 #include <fulmaryard/configuration_parser.hpp>
 #include <fulmaryard/configuration_state.hpp>
 #include <fulmaryard/configuration_store.hpp>
+#include <fulmaryard/error_response.hpp>
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/key_hash.hpp>
 #include <fulmaryard/log.hpp>
@@ -54,25 +55,14 @@
 
 http_response error_response(const absl::Status& status, const std::vector<std::string>* lines)
 {
-    const auto kind = kind_of(status);
-    const auto view = [](std::string_view text)
-    { return json::string_view(text.data(), text.size()); };
-    json::object body{
-        {"error",
-         {{"message", view(message_of(status))},
-          {"type", http_status(kind) >= 500 ? "server_error" : "invalid_request_error"},
-          {"code", view(to_string(kind))},
-          {"outcome", view(to_string(outcome_of(status)))}}}};
+    auto response = fulmaryard::error_response(status, to_string(make_stream_id()));
     if (lines != nullptr)
+    {
+        json::object body = json::parse(response.m_body).as_object();
         body["difference"] = lines_to_json(*lines);
-    http_response response{
-        http_status(kind),
-        {{"Content-Type", "application/json"},
-         {"X-Fulmaryard-Outcome", std::string(to_string(outcome_of(status)))}},
-        json::serialize(body)};
-    if (carries_retry_after(kind))
-        response.m_fields.push_back({"Retry-After", "1"});
-    if (kind == failure_kind::unauthenticated)
+        response.m_body = json::serialize(body);
+    }
+    if (kind_of(status) == failure_kind::unauthenticated)
         response.m_fields.push_back({"WWW-Authenticate", "Basic realm=\"fulmaryard\""});
     return response;
 }
--- a/src/failure.cpp
+++ b/src/failure.cpp
@@ -52,7 +52,9 @@
 
 const failure_kind_properties& properties_of(failure_kind kind) noexcept
 {
-    return properties[static_cast<std::size_t>(kind)];
+    // A kind that a peer sent can be any number.
+    const auto index = static_cast<std::size_t>(kind);
+    return index < properties.size() ? properties[index] : properties.back();
 }
 
 } // namespace
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,16 +1,19 @@
 #include "http_conversion_inl.hpp"
 #include "use_tuple_inl.hpp"
 
+#include <fulmaryard/error_response.hpp>
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/http_exchange.hpp>
 #include <fulmaryard/http_server.hpp>
 #include <fulmaryard/log.hpp>
 #include <fulmaryard/peer_address.hpp>
+#include <fulmaryard/stream_id.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -24,6 +27,7 @@
 #include <boost/beast/websocket/rfc6455.hpp>
 
 #include <atomic>
+#include <exception>
 #include <tuple>
 #include <utility>
 
@@ -186,6 +190,71 @@
     std::shared_ptr<client_watch> m_watch{std::make_shared<client_watch>()};
 };
 
+using request_parser = http::request_parser<http::string_body>;
+
+/// Reads one request; `beast::error::timeout` after the deadline, with the connection still open.
+///
+/// A tcp_stream's own deadline closes the socket, so that the client could not be told why.
+asio::awaitable<beast::error_code> read_request(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer, request_parser& parser,
+    std::chrono::milliseconds deadline)
+{
+    struct read_state
+    {
+        bool m_reading{true};
+        bool m_late{false};
+    };
+    const auto state = std::make_shared<read_state>();
+    asio::steady_timer timer(stream.get_executor(), deadline);
+    timer.async_wait(
+        [state, &stream](const beast::error_code& error)
+        {
+            if (error || !state->m_reading)
+                return;
+            state->m_late = true;
+            beast::error_code ignored;
+            stream.socket().cancel(ignored);
+        });
+    // Ends a read that began just after the cancellation.
+    stream.expires_after(deadline + std::chrono::seconds(1));
+    const auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
+    state->m_reading = false;
+    if (state->m_late && error)
+        co_return beast::error_code(beast::error::timeout);
+    co_return error;
+}
+
+/// Counts a request as in flight, also when its handler ends in an exception.
+class exchange_count
+{
+public:
+    explicit exchange_count(std::atomic<std::size_t>& count) : m_count(count)
+    {
+        m_count.fetch_add(1);
+    }
+    ~exchange_count() { m_count.fetch_sub(1); }
+
+    exchange_count(const exchange_count&) = delete;
+    exchange_count& operator=(const exchange_count&) = delete;
+
+private:
+    std::atomic<std::size_t>& m_count;
+};
+
+void log_failure(const std::exception_ptr& failure)
+{
+    if (!failure)
+        return;
+    try
+    {
+        std::rethrow_exception(failure);
+    }
+    catch (const std::exception& error)
+    {
+        log_event(log_level::error, "connection_failed").with("error", error.what());
+    }
+}
+
 } // namespace
 
 struct http_server::state : std::enable_shared_from_this<http_server::state>
@@ -240,7 +309,11 @@
         const std::uint64_t connection = ++m_accepted;
         asio::co_spawn(
             executor, serve(beast::tcp_stream(std::move(socket)), connection),
-            [self](const std::exception_ptr&) { self->m_connections.fetch_sub(1); });
+            [self](const std::exception_ptr& failure)
+            {
+                self->m_connections.fetch_sub(1);
+                log_failure(failure);
+            });
     }
 }
 
@@ -263,12 +336,11 @@
         status = http::status::request_header_fields_too_large;
     else if (error.category() != beast::error_code(http::error::bad_method).category())
         co_return false; // The connection itself failed; nobody would read an answer.
+    http_response answer =
+        error_response(make_failure(kind, error.message()), to_string(make_stream_id()));
     http::response<http::string_body> message(status, 11);
-    message.set(http::field::content_type, "application/json");
-    message.set("X-Fulmaryard-Outcome", std::string(to_string(outcome::not_run)));
-    message.body() = fmt::format(
-        R"({{"error":{{"message":"{}","type":"invalid_request_error","code":"{}","outcome":"not-run"}}}})",
-        error.message(), to_string(kind));
+    set_fields(message, answer.m_fields);
+    message.body() = std::move(answer.m_body);
     message.keep_alive(false);
     message.prepare_payload();
     stream.expires_after(m_limits.m_write_deadline);
@@ -295,7 +367,7 @@
     beast::flat_buffer buffer(m_limits.m_max_header_bytes + 64 * 1024);
     while (!m_stopping)
     {
-        http::request_parser<http::string_body> parser;
+        request_parser parser;
         parser.header_limit(static_cast<std::uint32_t>(m_limits.m_max_header_bytes));
         parser.body_limit(m_limits.m_max_body_bytes);
         if (buffer.size() == 0)
@@ -307,8 +379,8 @@
                 break;
             buffer.commit(size);
         }
-        stream.expires_after(m_limits.m_request_deadline);
-        const auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
+        const beast::error_code error =
+            co_await read_request(stream, buffer, parser, m_limits.m_request_deadline);
         if (error)
         {
             co_await answer_read_error(stream, error);
@@ -327,9 +399,10 @@
         connection_exchange exchange(
             stream, connection, std::move(request), message.keep_alive(),
             m_limits.m_write_deadline);
-        m_exchanges.fetch_add(1);
-        co_await m_on_request(exchange);
-        m_exchanges.fetch_sub(1);
+        {
+            const exchange_count counted(m_exchanges);
+            co_await m_on_request(exchange);
+        }
         exchange.end_watch();
         if (!exchange.responded())
         {
--- a/src/json_rpc.cpp
+++ b/src/json_rpc.cpp
@@ -29,7 +29,14 @@
 {
     const Json::CharReaderBuilder builder;
     const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    return reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
+    try
+    {
+        return reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
+    }
+    catch (const Json::Exception&) // Nesting beyond the reader's limit.
+    {
+        return false;
+    }
 }
 
 /// The library's client waits inside the connector for the response. This connector lets the
@@ -75,7 +82,16 @@
     std::string handle(const std::string& request)
     {
         std::string response;
-        m_protocol->HandleRequest(request, response);
+        // The library lets jsoncpp's exceptions pass, for example that of nesting beyond its limit.
+        try
+        {
+            m_protocol->HandleRequest(request, response);
+        }
+        catch (const Json::Exception&)
+        {
+            return R"({"jsonrpc":"2.0","id":null,)"
+                   R"("error":{"code":-32700,"message":"malformed JSON"}})";
+        }
         return response;
     }
 
@@ -122,6 +138,14 @@
 
 json_rpc_result read_json_rpc_response(const std::string& response)
 {
+    // jsoncpp's exceptions must not arise inside the library's client, whose `throw(...)`
+    // specifications turn them into the end of the process.
+    Json::Value value;
+    if (!read_json(response, value) || !value.isObject())
+        return {"", "malformed response", -32700};
+    if (value.isMember("error") && !(value["error"].isObject() && value["error"]["code"].isInt() &&
+                                     value["error"]["message"].isString()))
+        return {"", "malformed error in the response", -32700};
     split_connector connector(response);
     try
     {
--- a/src/peer_message.cpp
+++ b/src/peer_message.cpp
@@ -1,3 +1,5 @@
+#include "peer_input_archive.hpp"
+
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/peer_message.hpp>
 
@@ -24,12 +26,11 @@
 
 absl::StatusOr<peer_message> decode(std::string_view bytes)
 {
-    std::istringstream stream{std::string(bytes)};
-    // cereal throws on truncated input and on a variant index it does not know; a length field
-    // beyond what memory holds throws std::bad_alloc or std::length_error.
+    // The archive throws on truncated input and on a length beyond it, cereal on a variant index
+    // that it does not know.
     try
     {
-        cereal::PortableBinaryInputArchive archive(stream);
+        peer_input_archive archive(bytes);
         peer_message message;
         archive(message);
         return message;
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -154,6 +154,17 @@
     return !wait(std::chrono::milliseconds(0)).ok();
 }
 
+std::size_t child_process::memory_kilobytes(const std::string& figure) const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    for (std::string line; std::getline(status, line);)
+    {
+        if (line.rfind(figure + ":", 0) == 0)
+            return std::stoul(line.substr(figure.size() + 1));
+    }
+    return 0;
+}
+
 std::string child_process::output() const
 {
     const std::string all = read_file(m_log + ".out");
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -43,6 +43,10 @@
 
     bool running();
 
+    /// A figure of /proc/PID/status in kilobytes, for example "VmRSS"; 0 when the process has
+    /// ended.
+    std::size_t memory_kilobytes(const std::string& figure) const;
+
     /// What the process has written to its standard output since this object started it.
     std::string output() const;
 
--- a/tests/process/test_system.cpp
+++ b/tests/process/test_system.cpp
@@ -139,6 +139,27 @@
 
 void test_system::add_entry(
     const std::string& name, const std::string& failure_domain, const std::string& settings)
+{
+    add_entry_with(
+        name, failure_domain, settings,
+        fmt::format(
+            "name: operator, key_hash: \"{}\", tenants: [\"*\"]",
+            make_key_hash(m_administrator_secret)));
+}
+
+void test_system::add_limited_entry(
+    const std::string& name, const std::string& failure_domain, const std::string& tenant,
+    const std::string& secret)
+{
+    add_entry_with(
+        name, failure_domain, "",
+        fmt::format(
+            "name: tenant-admin, key_hash: \"{}\", tenants: [{}]", make_key_hash(secret), tenant));
+}
+
+void test_system::add_entry_with(
+    const std::string& name, const std::string& failure_domain, const std::string& settings,
+    const std::string& administrator)
 {
     std::vector<std::string> peers;
     for (const auto& [other, each] : m_parts)
@@ -152,10 +173,8 @@
         {
             created.m_control.emplace();
             return fmt::format(
-                "listen: {}\npeers: [{}]\nadministrators:\n  - name: operator\n"
-                "    key_hash: \"{}\"\n    tenants: [\"*\"]\n",
-                created.m_port.address(), fmt::join(peers, ", "),
-                make_key_hash(m_administrator_secret));
+                "listen: {}\npeers: [{}]\nadministrators:\n  - {{{}}}\n", created.m_port.address(),
+                fmt::join(peers, ", "), administrator);
         });
 }
 
--- a/tests/process/test_system.hpp
+++ b/tests/process/test_system.hpp
@@ -64,6 +64,11 @@
         const std::string& name, const std::string& failure_domain,
         const std::string& settings = "");
 
+    /// Likewise, but its only administrator is "tenant-admin", who may use one tenant.
+    void add_limited_entry(
+        const std::string& name, const std::string& failure_domain, const std::string& tenant,
+        const std::string& secret);
+
     /// Runs `fulmaryard apply` at an entry and returns its exit code.
     int apply(const std::string& entry, const std::string& file_content);
 
@@ -126,6 +131,9 @@
     void add_process(
         const std::string& name, const std::string& role, const std::string& failure_domain,
         const std::string& settings, const std::function<std::string(part&)>& specific);
+    void add_entry_with(
+        const std::string& name, const std::string& failure_domain, const std::string& settings,
+        const std::string& administrator);
     void start(const std::string& name);
     part& find(const std::string& name);
     const part& find(const std::string& name) const;
