--- a/tests/process/test_system.cpp
+++ b/tests/process/test_system.cpp
@@ -162,18 +162,36 @@
 void test_system::add_entry(
     const std::string& name, const std::string& failure_domain, const std::string& settings)
 {
-    create_entry(name, failure_domain, settings, "");
+    create_entry(name, failure_domain, settings, all_tenants_administrator(), "");
 }
 
 void test_system::add_relayed_entry(
     const std::string& name, const std::string& relay, const std::string& failure_domain)
 {
-    create_entry(name, failure_domain, "", relay);
+    create_entry(name, failure_domain, "", all_tenants_administrator(), relay);
+}
+
+void test_system::add_limited_entry(
+    const std::string& name, const std::string& failure_domain, const std::string& tenant,
+    const std::string& secret)
+{
+    create_entry(
+        name, failure_domain, "",
+        fmt::format(
+            "name: tenant-admin, key_hash: \"{}\", tenants: [{}]", make_key_hash(secret), tenant),
+        "");
+}
+
+std::string test_system::all_tenants_administrator()
+{
+    return fmt::format(
+        "name: operator, key_hash: \"{}\", tenants: [\"*\"]",
+        make_key_hash(m_administrator_secret));
 }
 
 void test_system::create_entry(
     const std::string& name, const std::string& failure_domain, const std::string& settings,
-    const std::string& relay)
+    const std::string& administrator, const std::string& relay)
 {
     std::vector<std::string> peers;
     for (const auto& [other, each] : m_parts)
@@ -187,10 +205,8 @@
         {
             created.m_control.emplace();
             return fmt::format(
-                "listen: {}\npeers: [{}]\nadministrators:\n  - name: operator\n"
-                "    key_hash: \"{}\"\n    tenants: [\"*\"]\n",
-                created.m_port.address(), fmt::join(peers, ", "),
-                make_key_hash(m_administrator_secret));
+                "listen: {}\npeers: [{}]\nadministrators:\n  - {{{}}}\n", created.m_port.address(),
+                fmt::join(peers, ", "), administrator);
         },
         relay);
 }
--- a/tests/process/test_system.hpp
+++ b/tests/process/test_system.hpp
@@ -73,6 +73,11 @@
     void add_relayed_entry(
         const std::string& name, const std::string& relay, const std::string& failure_domain);
 
+    /// Likewise, but its only administrator is "tenant-admin", who may use one tenant.
+    void add_limited_entry(
+        const std::string& name, const std::string& failure_domain, const std::string& tenant,
+        const std::string& secret);
+
     /// Runs `fulmaryard apply` at an entry and returns its exit code.
     int apply(const std::string& entry, const std::string& file_content);
 
@@ -139,7 +144,8 @@
         const std::string& relay = "");
     void create_entry(
         const std::string& name, const std::string& failure_domain, const std::string& settings,
-        const std::string& relay);
+        const std::string& administrator, const std::string& relay);
+    static std::string all_tenants_administrator();
     part& create_relay(const std::string& name, const std::string& target_address);
     void start(const std::string& name);
     part& find(const std::string& name);
