--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -50,7 +50,9 @@
 constexpr std::chrono::milliseconds tick_interval{50};
 constexpr std::chrono::milliseconds ask_interval{500}; ///< For the configuration of peers.
 // Shortest drain: requests on their way when `/readyz` turns off still get an answer.
-constexpr std::chrono::milliseconds shortest_drain{500};
+/// After SIGTERM new requests are still served for this long, as a load balancer goes on sending
+/// them until it has asked /readyz. Covers two checks of one that asks every second.
+constexpr std::chrono::milliseconds shortest_drain{2000};
 constexpr std::size_t max_peer_body_bytes = 4 * 1024 * 1024;
 constexpr std::size_t max_dumped_endpoints = 1000;
 
@@ -107,7 +109,7 @@
           m_io(static_cast<int>(m_threads)),
           m_process(fmt::format("{}/{}", settings.m_name, fulmaryard::to_string(make_stream_id()))),
           m_services(std::make_shared<entry_services>(std::move(settings), m_process, m_metrics)),
-          m_filters(make_request_filters(m_services->m_draining)),
+          m_filters(make_request_filters(m_services->m_refuses_new)),
           m_platform(m_io.get_executor(), m_services->m_settings.m_platform),
           m_status(
               *m_services, m_configuration, [this] { return m_controller.platform_reachable(); },
@@ -529,6 +531,8 @@
     {
         const auto elapsed = std::chrono::steady_clock::now() - started;
         m_drained_in_time = m_callers.active_exchanges() == 0;
+        if (elapsed >= shortest_drain)
+            m_services->m_refuses_new = true;
         if (elapsed >= limit || (elapsed >= shortest_drain && m_drained_in_time))
             break;
         timer.expires_after(tick_interval);
