--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -18,6 +18,7 @@
 #include <fulmaryard/http_server.hpp>
 #include <fulmaryard/json_rpc.hpp>
 #include <fulmaryard/log.hpp>
+#include <fulmaryard/order_controller.hpp>
 #include <fulmaryard/peer_links.hpp>
 #include <fulmaryard/peer_listener.hpp>
 #include <fulmaryard/platform_client.hpp>
@@ -115,12 +116,14 @@
               *m_services, m_configuration, [this] { return m_controller.platform_reachable(); },
               [this] { return status(); }),
           m_store(m_platform),
+          m_orders(m_io.get_executor(), m_platform, m_process),
           m_administration(
-              m_services->m_settings.m_administrators, m_store, m_configuration, m_status),
+              m_services->m_settings.m_administrators, m_store, m_configuration, m_status,
+              m_orders),
           m_controller(m_io.get_executor(), m_platform, m_configuration),
           m_follower(m_io.get_executor(), m_configuration, nullptr),
           m_use(std::make_shared<account_use_exchange>(
-              m_io.get_executor(), m_services->m_gate, m_services->m_settings.m_peer_listen,
+              m_io.get_executor(), m_services->m_gate, m_services->m_settings.advertised_address(),
               m_services->m_settings.m_peers, [this] { return m_configuration.generation(); },
               [this](const std::string& address, std::uint64_t generation)
               {
@@ -128,7 +131,7 @@
                   m_follower.note_generation(address, generation);
               })),
           m_instances(
-              m_io.get_executor(), m_platform, m_services->m_settings.m_peer_listen,
+              m_io.get_executor(), m_platform, m_services->m_settings.advertised_address(),
               [this](const instance_list& list) { on_instances(list); }),
           m_links(
               m_io, [this] { return greeting(); }, *this),
@@ -145,7 +148,7 @@
         { m_links.send(address, message); };
         add_configuration_methods(m_rpc, m_configuration);
         m_use->serve(m_rpc);
-        m_instances.serve(m_rpc);
+        m_instances.serve(m_rpc, [this] { return m_configuration.generation(); });
     }
 
     ~impl() override
@@ -211,6 +214,7 @@
     platform_client m_platform;
     entry_status m_status;
     configuration_store m_store;
+    order_controller m_orders;
     administration_api m_administration;
     configuration_controller m_controller;
     configuration_follower m_follower;
@@ -227,7 +231,8 @@
     hello greeting() const
     {
         return {
-            m_process, "entry", m_services->m_settings.m_peer_listen, m_configuration.generation()};
+            m_process, "entry", m_services->m_settings.advertised_address(),
+            m_configuration.generation()};
     }
 
     void note_peer(const hello& peer)
@@ -410,7 +415,7 @@
         {"role", "entry"},
         {"name", settings.m_name},
         {"process", m_process},
-        {"address", settings.m_peer_listen},
+        {"address", settings.advertised_address()},
         {"phase", std::string(fulmaryard::to_string(m_lifecycle.phase()))},
         {"generation", m_configuration.generation()},
         {"streams", m_services->m_streams.size()},
@@ -434,7 +439,7 @@
     const auto entries = entries_of(list);
     m_use->set_entries(entries);
     m_controller.watch_platform(
-        shall_watch_configuration(m_services->m_settings.m_peer_listen, entries));
+        shall_watch_configuration(m_services->m_settings.advertised_address(), entries));
 }
 
 asio::awaitable<void> entry_process::impl::ask_fixed_peers()
