Never block an entry's thread while it watches for the end of a caller

Cause: the watch peeked at the caller's socket with a synchronous receive. epoll can report readiness that a read has used up, and the receive then waited, with its thread, until the caller closed. What the thread had posted was stuck with it: a stage never got its open_stream, and the stream gave no token for 10 s. Seen in the tests of leaving and rolling replacement, about once in 700 streams. Ruled out: lost messages on the link (later streams used it), refusals by the stage node (its dump did not know the stream), the deadline for opening a stage (it was never checked).

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -126,27 +126,7 @@
     {
         m_watch->m_on_gone = std::move(on_gone);
         m_watch->m_active = true;
-        // The wait ends early only when the socket becomes readable: with data of a pipelined
-        // request, which is left alone, or with the end of the client's sending side.
-        m_stream.socket().async_wait(
-            asio::ip::tcp::socket::wait_read,
-            [watch = m_watch, &socket = m_stream.socket()](const beast::error_code& error)
-            {
-                if (!watch->m_active)
-                    return;
-                char byte = 0;
-                beast::error_code peek_error = error;
-                if (!error)
-                {
-                    socket.receive(
-                        asio::buffer(&byte, 1), asio::socket_base::message_peek, peek_error);
-                }
-                if (peek_error && peek_error != asio::error::would_block)
-                {
-                    watch->m_active = false;
-                    watch->m_on_gone();
-                }
-            });
+        wait_for_end(m_watch, m_stream.socket());
     }
 
     bool usable() const { return m_usable; }
@@ -168,6 +148,39 @@
         std::function<void()> m_on_gone;
     };
 
+    static void
+    wait_for_end(const std::shared_ptr<client_watch>& watch, asio::ip::tcp::socket& socket)
+    {
+        // The wait ends when the socket becomes readable: with data of a pipelined request, which
+        // is left alone, or with the end of the client's sending side. It can also end without
+        // either, since epoll reports readiness that a read has used up meanwhile.
+        socket.async_wait(
+            asio::ip::tcp::socket::wait_read,
+            [watch, &socket](const beast::error_code& error)
+            {
+                if (!watch->m_active)
+                    return;
+                char byte = 0;
+                beast::error_code peek_error = error;
+                // A synchronous receive on a socket in blocking mode waits for data, and with it
+                // the thread and everything that the thread had posted.
+                if (!peek_error)
+                    socket.non_blocking(true, peek_error);
+                if (!peek_error)
+                {
+                    socket.receive(
+                        asio::buffer(&byte, 1), asio::socket_base::message_peek, peek_error);
+                }
+                if (peek_error == asio::error::would_block)
+                    wait_for_end(watch, socket);
+                else if (peek_error)
+                {
+                    watch->m_active = false;
+                    watch->m_on_gone();
+                }
+            });
+    }
+
     absl::Status finish_write(const beast::error_code& error)
     {
         m_stream.expires_never();
