--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -26,8 +26,6 @@
 #include <boost/beast/http/write.hpp>
 #include <boost/beast/websocket/rfc6455.hpp>
 
-#include <sys/socket.h>
-
 #include <atomic>
 #include <cerrno>
 #include <exception>
@@ -155,10 +153,12 @@
         std::function<void()> m_on_gone;
     };
 
-    /// Reports the end of the client's sending side. Data of a pipelined request is left alone.
     static void
     wait_for_end(const std::shared_ptr<client_watch>& watch, asio::ip::tcp::socket& socket)
     {
+        // The wait ends when the socket becomes readable: with data of a pipelined request, which
+        // is left alone, or with the end of the client's sending side. It can also end without
+        // either, since epoll reports readiness that a read has used up meanwhile.
         socket.async_wait(
             asio::ip::tcp::socket::wait_read,
             [watch, &socket](const beast::error_code& error)
@@ -166,20 +166,23 @@
                 if (!watch->m_active)
                     return;
                 char byte = 0;
-                const auto size =
-                    error ? -1 : ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-                // The wait also ends for data that has been read already, when the reactor sees
-                // its event late. A blocking read would then hold the thread until the client
-                // sends or closes.
-                if (!error && size < 0 && (errno == EAGAIN || errno == EINTR))
+                beast::error_code peek_error = error;
+                // A synchronous receive on a socket in blocking mode waits for data, and with it
+                // the thread and everything that the thread had posted.
+                if (!peek_error)
+                    socket.non_blocking(true, peek_error);
+                if (!peek_error)
                 {
+                    socket.receive(
+                        asio::buffer(&byte, 1), asio::socket_base::message_peek, peek_error);
+                }
+                if (peek_error == asio::error::would_block)
                     wait_for_end(watch, socket);
-                    return;
+                else if (peek_error)
+                {
+                    watch->m_active = false;
+                    watch->m_on_gone();
                 }
-                if (size > 0)
-                    return;
-                watch->m_active = false;
-                watch->m_on_gone();
             });
     }
 
