--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -27,7 +27,6 @@
 #include <boost/beast/websocket/rfc6455.hpp>
 
 #include <atomic>
-#include <cerrno>
 #include <exception>
 #include <tuple>
 #include <utility>
