Do not block a thread when the watch of a client wakes without data

Cause: the wait for readability in watch_client can end with the event of the request that was already read; the peek that followed was a synchronous read of a blocking socket and stopped the thread until the client sent or closed. Ruled out: the question to the stages, which is bounded by 300 ms each. The wait is also repeated then, since the client's end was missed otherwise.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -126,27 +126,10 @@
     {
         m_watch->m_on_gone = std::move(on_gone);
         m_watch->m_active = true;
-        // The wait ends early only when the socket becomes readable: with data of a pipelined
-        // request, which is left alone, or with the end of the client's sending side.
-        m_stream.socket().async_wait(
-            asio::ip::tcp::socket::wait_read,
-            [watch = m_watch, &socket = m_stream.socket()](const beast::error_code& error)
-            {
-                if (!watch->m_active)
-                    return;
-                char byte = 0;
-                beast::error_code peek_error = error;
-                if (!error)
-                {
-                    socket.receive(
-                        asio::buffer(&byte, 1), asio::socket_base::message_peek, peek_error);
-                }
-                if (peek_error && peek_error != asio::error::would_block)
-                {
-                    watch->m_active = false;
-                    watch->m_on_gone();
-                }
-            });
+        // A synchronous read of a blocking socket that has no data would stop this thread.
+        beast::error_code ignored;
+        m_stream.socket().non_blocking(true, ignored);
+        wait_for_end(m_stream.socket(), m_watch);
     }
 
     bool usable() const { return m_usable; }
@@ -168,6 +151,35 @@
         std::function<void()> m_on_gone;
     };
 
+    // The wait ends when the socket becomes readable: with data of a pipelined request, which is
+    // left alone, or with the end of the client's sending side. It may also end without either,
+    // with an event of the request that was read before, and is then repeated.
+    static void
+    wait_for_end(asio::ip::tcp::socket& socket, const std::shared_ptr<client_watch>& watch)
+    {
+        socket.async_wait(
+            asio::ip::tcp::socket::wait_read,
+            [watch, &socket](const beast::error_code& error)
+            {
+                if (!watch->m_active)
+                    return;
+                char byte = 0;
+                beast::error_code peek_error = error;
+                if (!error)
+                {
+                    socket.receive(
+                        asio::buffer(&byte, 1), asio::socket_base::message_peek, peek_error);
+                }
+                if (peek_error == asio::error::would_block)
+                    wait_for_end(socket, watch);
+                else if (peek_error)
+                {
+                    watch->m_active = false;
+                    watch->m_on_gone();
+                }
+            });
+    }
+
     absl::Status finish_write(const beast::error_code& error)
     {
         m_stream.expires_never();
