Show recoveries in the status, and define shared name functions once

The status and its JSON now have the number of stages that the entry has replaced. The two copies of the log level's parser and of the endpoint state's names become parse_log_level() and to_string(endpoint_state).

--- a/include/fulmaryard/endpoint.hpp
+++ b/include/fulmaryard/endpoint.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace fulmaryard
 {
@@ -18,6 +19,9 @@
     silent   ///< The link is down or no load report has come yet.
 };
 
+/// Returns the name used in status and dumps: "live", "leaving" or "silent".
+std::string_view to_string(endpoint_state state) noexcept;
+
 /// One endpoint as this entry sees it.
 struct endpoint
 {
--- a/include/fulmaryard/log.hpp
+++ b/include/fulmaryard/log.hpp
@@ -18,6 +18,9 @@
     error
 };
 
+/// Level of a name in settings; `info` for any other name.
+log_level parse_log_level(std::string_view name) noexcept;
+
 /// Sets the lowest level that is written; `info` unless set. Thread-safe.
 void set_log_level(log_level level) noexcept;
 
--- a/include/fulmaryard/system_status.hpp
+++ b/include/fulmaryard/system_status.hpp
@@ -17,6 +17,7 @@
 {
     std::uint64_t m_generation{0}; ///< In force in the entry itself.
     std::string m_platform;        ///< "reachable" or "unreachable".
+    std::uint64_t m_recoveries{0}; ///< Stages replaced since the entry started.
     std::vector<instance_status> m_instances;
     std::vector<pipeline_status> m_pipelines;
 
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -7,6 +7,19 @@
 namespace fulmaryard
 {
 
+std::string_view to_string(endpoint_state state) noexcept
+{
+    switch (state)
+    {
+    case endpoint_state::live:
+        return "live";
+    case endpoint_state::leaving:
+        return "leaving";
+    default:
+        return "silent";
+    }
+}
+
 const endpoint* directory_view::find(std::string_view address) const
 {
     const auto found = std::lower_bound(
--- a/src/entry_command.cpp
+++ b/src/entry_command.cpp
@@ -21,15 +21,6 @@
 
 constexpr const char* usage = "usage: fulmaryard entry --settings FILE\n";
 
-log_level log_level_of(const std::string& name)
-{
-    if (name == "debug")
-        return log_level::debug;
-    if (name == "warning")
-        return log_level::warning;
-    return name == "error" ? log_level::error : log_level::info;
-}
-
 } // namespace
 
 int run_entry_command(int argc, char** argv)
@@ -71,7 +62,7 @@
         fmt::print(stderr, "planner must be \"least_wait\" or \"round_robin\"\n");
         return exit_invalid_file;
     }
-    set_log_level(log_level_of(settings->m_log_level));
+    set_log_level(parse_log_level(settings->m_log_level));
     set_log_process(settings->m_name);
     entry_process process(*std::move(settings));
     const absl::Status status = process.run();
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -63,19 +63,6 @@
     return response;
 }
 
-std::string_view to_string(endpoint_state state)
-{
-    switch (state)
-    {
-    case endpoint_state::live:
-        return "live";
-    case endpoint_state::leaving:
-        return "leaving";
-    default:
-        return "silent";
-    }
-}
-
 double to_seconds(std::chrono::nanoseconds duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -382,7 +369,7 @@
         endpoints.push_back(json::object{
             {"address", known.m_address},
             {"process", report.m_process},
-            {"state", std::string(to_string(known.m_state))},
+            {"state", std::string(fulmaryard::to_string(known.m_state))},
             {"model", report.m_model},
             {"service", report.m_service},
             {"layers", json::array{report.m_layers.m_begin, report.m_layers.m_end}},
--- a/src/entry_status.cpp
+++ b/src/entry_status.cpp
@@ -14,22 +14,9 @@
 namespace
 {
 
-const char* name_of(endpoint_state state)
-{
-    switch (state)
-    {
-    case endpoint_state::live:
-        return "live";
-    case endpoint_state::leaving:
-        return "leaving";
-    default:
-        return "silent";
-    }
-}
-
 void add_load(instance_status& instance, const endpoint& known)
 {
-    instance.m_state = name_of(known.m_state);
+    instance.m_state = to_string(known.m_state);
     instance.m_generation = known.m_report.m_generation;
     instance.m_outstanding = known.outstanding();
     instance.m_step_time_us = known.m_report.m_step_time_us;
@@ -159,6 +146,7 @@
     const auto in_force = m_state.published().load();
     system_status result;
     result.m_generation = in_force->m_generation;
+    result.m_recoveries = m_services.m_metrics.m_recoveries.value();
     result.m_platform = m_platform_reachable() ? "reachable" : "unreachable";
     {
         const std::lock_guard lock(m_mutex);
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -55,6 +55,15 @@
 
 } // namespace
 
+log_level parse_log_level(std::string_view name) noexcept
+{
+    if (name == "debug")
+        return log_level::debug;
+    if (name == "warning")
+        return log_level::warning;
+    return name == "error" ? log_level::error : log_level::info;
+}
+
 void set_log_level(log_level level) noexcept
 {
     minimum_level.store(level, std::memory_order_relaxed);
--- a/src/show_commands.cpp
+++ b/src/show_commands.cpp
@@ -40,8 +40,9 @@
 void print_status(const json::value& status)
 {
     fmt::print(
-        "generation {} in force on {} of {}, platform {}\n\n", show(status, "generation"),
-        show(status, "in_force"), show(status, "instance_count"), show(status, "platform"));
+        "generation {} in force on {} of {}, platform {}, {} recoveries at this entry\n\n",
+        show(status, "generation"), show(status, "in_force"), show(status, "instance_count"),
+        show(status, "platform"), show(status, "recoveries"));
     fmt::print(
         "{:<16} {:<6} {:<22} {:<12} {:<8} {:>10} {:>11}\n", "INSTANCE", "ROLE", "ADDRESS", "DOMAIN",
         "STATE", "GENERATION", "OUTSTANDING");
--- a/src/side_command.cpp
+++ b/src/side_command.cpp
@@ -33,19 +33,10 @@
     "  -s, --settings FILE  process settings\n"
     "  -h, --help           show this help\n";
 
-log_level level_of(std::string_view name)
-{
-    if (name == "debug")
-        return log_level::debug;
-    if (name == "warning")
-        return log_level::warning;
-    return name == "error" ? log_level::error : log_level::info;
-}
-
 int run_side(const side_settings& settings)
 {
     set_log_process(settings.m_name);
-    set_log_level(level_of(settings.m_log_level));
+    set_log_level(parse_log_level(settings.m_log_level));
     const int threads = static_cast<int>(std::max<std::uint32_t>(1, settings.m_threads));
     boost::asio::io_context io(threads);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
--- a/src/status_fields.hpp
+++ b/src/status_fields.hpp
@@ -48,6 +48,7 @@
 inline constexpr auto field_table<system_status> = std::tuple{
     field{"generation", &system_status::m_generation, field_rules{}},
     field{"platform", &system_status::m_platform, field_rules{}},
+    field{"recoveries", &system_status::m_recoveries, field_rules{}},
     field{"instances", &system_status::m_instances, field_rules{}},
     field{"pipelines", &system_status::m_pipelines, field_rules{}}};
 
--- a/tests/process/overload_test.cpp
+++ b/tests/process/overload_test.cpp
@@ -46,9 +46,8 @@
         const auto end = steady::now() + length;
         for (std::size_t sender = 0; sender < senders; ++sender)
         {
-            const std::string address = entries[sender % entries.size()];
             m_threads.emplace_back(
-                [this, address, account, sender, interval, end]
+                [this, address = entries[sender % entries.size()], account, sender, interval, end]
                 {
                     // Spreads the senders over the interval.
                     auto next = steady::now() + interval * static_cast<int>(sender % 10) / 10;
