--- a/src/worker_client.cpp
+++ b/src/worker_client.cpp
@@ -147,11 +147,12 @@
 
     asio::awaitable<std::string> dump(std::size_t max_keys)
     {
-        co_return co_await asio::co_spawn(
-            m_strand,
-            [self = shared_from_this(), max_keys]() -> asio::awaitable<std::string>
-            { co_return self->m_ledger.dump(max_keys); },
-            asio::use_awaitable);
+        // Named, since g++ 12 destroys a temporary function object in a co_await twice, and with it
+        // the reference to this object.
+        const auto dump_ledger = [self = shared_from_this(),
+                                  max_keys]() -> asio::awaitable<std::string>
+        { co_return self->m_ledger.dump(max_keys); };
+        co_return co_await asio::co_spawn(m_strand, dump_ledger, asio::use_awaitable);
     }
 
     void stop() { m_stopped = true; }
