--- a/benchmark/capacity_links.cpp
+++ b/benchmark/capacity_links.cpp
@@ -65,6 +65,7 @@
         boost::asio::io_context io(1);
         link_end dialler(io);
         std::vector<std::unique_ptr<link_end>> peers;
+        peers.reserve(static_cast<std::size_t>(count));
         for (int at = 0; at < count; ++at)
             peers.push_back(std::make_unique<link_end>(io));
         io.run_for(50ms);
