--- a/benchmark/capacity_slopes.cpp
+++ b/benchmark/capacity_slopes.cpp
@@ -326,6 +326,7 @@
     endpoint_directory directory;
     fill(directory, 100);
     std::vector<std::string> encoded;
+    encoded.reserve(100);
     for (int at = 0; at < 100; ++at)
         encoded.push_back(encode(make_report(at, 7)));
     slope_fit reports;
@@ -559,9 +560,10 @@
                 for (std::uint64_t stream = 1; stream <= 16; ++stream)
                     stage.next_token(stream, index);
             }
-            time.add(positions / 16 * 16, thread_seconds() - started);
-            retained.add(positions / 16 * 16, allocated_bytes() - before - opened);
-            if (stage.runs() != 16 + positions / 16 * 16)
+            const std::uint32_t run = positions / 16 * 16;
+            time.add(run, thread_seconds() - started);
+            retained.add(run, allocated_bytes() - before - opened);
+            if (stage.runs() != 16 + run)
                 fmt::print(stderr, "the stage ran {} times\n", stage.runs());
         }
         retained.print(fmt::format("memory_per_retained_position_of_{}_bytes", size), "bytes");
