--- a/src/entry_services.hpp
+++ b/src/entry_services.hpp
@@ -38,7 +38,7 @@
     std::string m_process; ///< Id of this run.
     entry_metrics m_metrics;
     std::atomic<bool> m_draining{false};
-    std::atomic<bool> m_refuses_new{false}; ///< Later than `m_draining`, see `drain`.
+    std::atomic<bool> m_refuses_new{false};    ///< Later than `m_draining`, see `drain`.
     std::atomic<bool> m_reached_others{false}; ///< Instance list read or a peer answered.
     endpoint_directory m_directory;
     stage_planner m_planner;
