--- a/include/fulmaryard/order_controller.hpp
+++ b/include/fulmaryard/order_controller.hpp
@@ -27,7 +27,8 @@
     /// `process` is the id of this run of the entry. The platform must outlive the object and its
     /// coroutines.
     order_controller(
-        boost::asio::any_io_executor executor, platform_client& platform, std::string process);
+        const boost::asio::any_io_executor& executor, platform_client& platform,
+        std::string process);
     ~order_controller();
 
     order_controller(const order_controller&) = delete;
--- a/src/order_controller.cpp
+++ b/src/order_controller.cpp
@@ -63,8 +63,8 @@
 class order_controller::impl : public std::enable_shared_from_this<order_controller::impl>
 {
 public:
-    impl(asio::any_io_executor executor, platform_client& platform, std::string process)
-        : m_strand(asio::make_strand(std::move(executor))),
+    impl(const asio::any_io_executor& executor, platform_client& platform, std::string process)
+        : m_strand(asio::make_strand(executor)),
           m_platform(platform),
           m_holder(lease_holder_settings{std::move(process)})
     {
@@ -173,8 +173,8 @@
 };
 
 order_controller::order_controller(
-    asio::any_io_executor executor, platform_client& platform, std::string process)
-    : m_impl(std::make_shared<impl>(std::move(executor), platform, std::move(process)))
+    const asio::any_io_executor& executor, platform_client& platform, std::string process)
+    : m_impl(std::make_shared<impl>(executor, platform, std::move(process)))
 {
 }
 
--- a/tests/process/leaving_test.cpp
+++ b/tests/process/leaving_test.cpp
@@ -141,8 +141,10 @@
     std::atomic<int> failed{0};
     std::atomic<int> sent{0};
     std::atomic<bool> stop{false};
+    constexpr int caller_count = 8;
     std::vector<std::thread> callers;
-    for (int caller = 0; caller < 8; ++caller)
+    callers.reserve(caller_count);
+    for (int caller = 0; caller < caller_count; ++caller)
     {
         callers.emplace_back(
             [&, caller]
--- a/tests/unit/call_ledger_test.cpp
+++ b/tests/unit/call_ledger_test.cpp
@@ -237,7 +237,8 @@
     {
         if (m_outstanding.empty())
             return;
-        const auto position = m_outstanding.begin() + which % m_outstanding.size();
+        const auto position =
+            m_outstanding.begin() + static_cast<std::ptrdiff_t>(which % m_outstanding.size());
         const operation done = *position;
         m_outstanding.erase(position);
         std::visit([&](const auto& action) { this->complete(done, action, fault); }, done.m_action);
@@ -322,7 +323,7 @@
     {
         if (m_late.empty())
             return;
-        const auto position = m_late.begin() + which % m_late.size();
+        const auto position = m_late.begin() + static_cast<std::ptrdiff_t>(which % m_late.size());
         const auto request = *position;
         m_late.erase(position);
         std::ignore = write(request);
--- a/tests/unit/concurrency_test.cpp
+++ b/tests/unit/concurrency_test.cpp
@@ -27,6 +27,7 @@
 void run_on_threads(const std::function<void(int thread)>& work)
 {
     std::vector<std::thread> threads;
+    threads.reserve(thread_count);
     for (int i = 0; i < thread_count; ++i)
         threads.emplace_back(work, i);
     for (auto& thread : threads)
@@ -132,7 +133,8 @@
             {
                 auto offered = std::make_shared<configuration>();
                 // Late and repeated deliveries mixed with new ones.
-                offered->m_generation = static_cast<std::uint64_t>(i - (i + thread) % 7 + 7);
+                const auto round = static_cast<std::uint64_t>(i);
+                offered->m_generation = round + 7 - (round + static_cast<unsigned>(thread)) % 7;
                 state.offer(std::move(offered));
                 const std::uint64_t seen = reader.get()->m_generation;
                 if (seen < last)
