--- a/tests/process/system_test.cpp
+++ b/tests/process/system_test.cpp
@@ -1,3 +1,4 @@
+#include "process/test_requests.hpp"
 #include "process/test_system.hpp"
 #include "standins/reference_model.hpp"
 
@@ -9,24 +10,6 @@
 using namespace fulmaryard::process_tests;
 namespace json = boost::json;
 
-namespace
-{
-
-http_request chat(const std::string& account, const std::string& content, int max_tokens)
-{
-    return {
-        "POST",
-        "/v1/chat/completions",
-        {{"Authorization", "Bearer " + test_system::bearer(account)},
-         {"Content-Type", "application/json"}},
-        fmt::format(
-            R"({{"model":"standin-model","stream":true,"max_tokens":{},)"
-            R"("messages":[{{"role":"user","content":"{}"}}]}})",
-            max_tokens, content)};
-}
-
-} // namespace
-
 TEST_SUITE_BEGIN("system");
 
 TEST_CASE("a whole system answers completions and orders")
@@ -50,7 +33,7 @@
     for (std::size_t entry = 0; entry < entries.size(); ++entry)
     {
         const std::string content = fmt::format("plasters for entry {}", entry);
-        const auto answer = test_client::complete({entries[entry]}, chat("shop", content, 20));
+        const auto answer = test_client::complete({entries[entry]}, make_chat("shop", content, 20));
         REQUIRE(answer.ok());
         CHECK(
             answer->m_text ==
