--- /dev/null
+++ b/include/fulmaryard/answer_head.hpp
@@ -0,0 +1,28 @@
+#ifndef FULMARYARD_ANSWER_HEAD_HPP
+#define FULMARYARD_ANSWER_HEAD_HPP
+
+#include <fulmaryard/http_message.hpp>
+
+#include <compare>
+#include <string>
+#include <vector>
+
+namespace fulmaryard
+{
+
+/// The head of an endpoint's answer.
+struct answer_head
+{
+    unsigned m_status{0};
+    bool m_own{false};      ///< It belongs to the call that was sent.
+    bool m_signed{false};   ///< It carries the endpoint's signature.
+    bool m_not_run{false};  ///< The endpoint states that it did not run the call.
+    std::string m_at_fault; ///< Address of the endpoint of the path that refused; may be empty.
+    std::vector<http_field> m_fields; ///< For the caller, less fields of the connection.
+
+    friend auto operator<=>(const answer_head&, const answer_head&) = default;
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/include/fulmaryard/endpoint_record.hpp
@@ -0,0 +1,31 @@
+#ifndef FULMARYARD_ENDPOINT_RECORD_HPP
+#define FULMARYARD_ENDPOINT_RECORD_HPP
+
+#include <fulmaryard/layer_range.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace fulmaryard
+{
+
+/// What the platform lists of one endpoint.
+struct endpoint_record
+{
+    std::string m_id; ///< Unique to the endpoint; the same after a restart in place.
+    std::string m_service;
+    std::string m_address; ///< "IP:PORT".
+    std::string m_failure_domain;
+    std::string m_accelerator;     ///< Name of an `accelerator_kind`; empty at plain endpoints.
+    layer_range m_layers;          ///< Empty while none are loaded.
+    std::uint64_t m_started_ms{0}; ///< Unix time of its start; another value is another run.
+    std::uint32_t m_places{0};     ///< Requests that it runs at once.
+    bool m_leaving{false};         ///< Takes no new requests.
+
+    friend auto operator<=>(const endpoint_record&, const endpoint_record&) = default;
+};
+
+} // namespace fulmaryard
+
+#endif
--- a/include/fulmaryard/http_exchange.hpp
+++ b/include/fulmaryard/http_exchange.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace fulmaryard
@@ -39,6 +40,12 @@
     /// Sends the header of a chunked `text/event-stream` response.
     virtual boost::asio::awaitable<absl::Status> begin_events(std::vector<http_field> fields) = 0;
 
+    /// Sends the header of a chunked response with any status and fields, as `begin_events` does.
+    virtual boost::asio::awaitable<absl::Status> begin_chunked(http_response head)
+    {
+        return begin_events(std::move(head.m_fields));
+    }
+
     /// Sends `text` as one chunk. Completes when the kernel has taken the bytes, so a slow reader
     /// slows the sender; `request_timeout` when it takes nothing for the write deadline.
     virtual boost::asio::awaitable<absl::Status> send_events(std::string_view text) = 0;
@@ -46,8 +53,8 @@
     /// Sends the final chunk.
     virtual boost::asio::awaitable<absl::Status> end_events() = 0;
 
-    /// Closes the connection without a response, or in the middle of one. The caller's outcome is
-    /// then unknown, so only stand-ins that inject this fault use it.
+    /// Closes the connection without a response, or in the middle of one, so that an answer that
+    /// cannot be completed does not look complete. The caller's outcome is then unknown.
     virtual void abort_connection() {}
 
     /// Returns true once a response has been started.
--- a/include/fulmaryard/http_server.hpp
+++ b/include/fulmaryard/http_server.hpp
@@ -61,6 +61,9 @@
     /// and then close.
     void stop_accepting();
 
+    /// From now on each response ends its connection, and says so. New connections are accepted.
+    void close_connections();
+
     /// Number of requests being answered.
     std::size_t active_exchanges() const;
 
--- a/include/fulmaryard/log.hpp
+++ b/include/fulmaryard/log.hpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <cstdint>
+#include <cstdio>
 #include <string>
 #include <string_view>
 
@@ -24,7 +25,12 @@
 /// Sets the lowest level that is written; `info` unless set. Thread-safe.
 void set_log_level(log_level level) noexcept;
 
-/// One event, written to standard error as one line of key=value pairs when it is destroyed:
+/// Where lines are written; standard error unless set. A line that the reader of a pipe has no room
+/// for is left out, so that logging never blocks; the next line that is written says how many.
+/// Call it before other threads log.
+void set_log_output(std::FILE* output) noexcept;
+
+/// One event, written to the log output as one line of key=value pairs when it is destroyed:
 /// `time=... level=info event=stream_opened process=entry-1 stream=...`.
 /// Values with spaces, quotes or control characters are quoted and escaped.
 class log_event
--- /dev/null
+++ b/include/fulmaryard/placement_member.hpp
@@ -0,0 +1,26 @@
+#ifndef FULMARYARD_PLACEMENT_MEMBER_HPP
+#define FULMARYARD_PLACEMENT_MEMBER_HPP
+
+#include <fulmaryard/layer_range.hpp>
+
+#include <compare>
+#include <string>
+
+namespace fulmaryard
+{
+
+/// An endpoint as the placement of layers sees it.
+struct placement_member
+{
+    std::string m_endpoint;
+    std::string m_failure_domain;
+    double m_memory_mb{0};
+    layer_range m_layers; ///< That it holds or has been ordered to hold; empty: none.
+    layer_range m_loaded; ///< That it reports as loaded.
+
+    friend auto operator<=>(const placement_member&, const placement_member&) = default;
+};
+
+} // namespace fulmaryard
+
+#endif
--- a/include/fulmaryard/retry_budget.hpp
+++ b/include/fulmaryard/retry_budget.hpp
@@ -9,13 +9,22 @@
 namespace fulmaryard
 {
 
-/// Bounds retries to 10% of the requests of the last 10 s plus a floor of 10, so that they cannot
-/// amplify an overload. Does no I/O. Not thread-safe.
+/// What a budget grants. The defaults keep retries from amplifying an overload.
+struct retry_budget_settings
+{
+    std::uint64_t m_percent{10}; ///< Retries for each hundred requests.
+    std::uint64_t m_floor{10};   ///< Retries in 10 s that need no requests.
+};
+
+/// Bounds retries to a part of the requests of the last 10 s plus a floor. Does no I/O. Not
+/// thread-safe.
 class retry_budget
 {
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
+    explicit retry_budget(retry_budget_settings settings = {}) : m_settings(settings) {}
+
     void on_request(time_point now);
 
     /// Takes one retry from the budget; false when it is used up.
@@ -32,6 +41,7 @@
     second& slot(time_point now);
 
     static constexpr std::size_t window_seconds = 10;
+    retry_budget_settings m_settings;
     std::array<second, window_seconds> m_seconds;
 };
 
--- /dev/null
+++ b/include/fulmaryard/router_settings.hpp
@@ -0,0 +1,33 @@
+#ifndef FULMARYARD_ROUTER_SETTINGS_HPP
+#define FULMARYARD_ROUTER_SETTINGS_HPP
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace fulmaryard
+{
+
+/// Settings of a router process.
+struct router_settings
+{
+    std::string m_name; ///< Name in logs, for example "router-1".
+    std::string m_region;
+    std::string m_failure_domain;
+    std::string m_platform;                ///< Address of the platform's store, "IP:PORT".
+    std::string m_listen;                  ///< Callers, "IP:PORT".
+    std::string m_ready_listen;            ///< Readiness, "IP:PORT".
+    std::string m_metrics_listen;          ///< Metrics and state dump, "IP:PORT".
+    std::string m_peer_listen;             ///< Datagrams of other routers, "IP:PORT".
+    std::string m_log_level{"info"};       ///< "debug", "info", "warning" or "error".
+    std::uint32_t m_grace_ms{8000};        ///< From SIGTERM to SIGKILL, milliseconds.
+    std::uint32_t m_retry_percent{18};     ///< Retries for each hundred requests.
+    std::uint32_t m_retry_floor{10};       ///< Retries in 10 s that need no requests.
+    std::uint32_t m_max_connections{3500}; ///< From callers.
+
+    friend auto operator<=>(const router_settings&, const router_settings&) = default;
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/include/fulmaryard/routing_configuration.hpp
@@ -0,0 +1,28 @@
+#ifndef FULMARYARD_ROUTING_CONFIGURATION_HPP
+#define FULMARYARD_ROUTING_CONFIGURATION_HPP
+
+#include <fulmaryard/routed_service.hpp>
+#include <fulmaryard/routing_account.hpp>
+#include <fulmaryard/service_route.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+namespace fulmaryard
+{
+
+/// Routes, services and accounts of one version, as the operators wrote them.
+struct routing_configuration
+{
+    std::uint64_t m_version{0};
+    std::vector<service_route> m_routes;
+    std::vector<routed_service> m_services;
+    std::vector<routing_account> m_accounts;
+
+    friend auto operator<=>(const routing_configuration&, const routing_configuration&) = default;
+};
+
+} // namespace fulmaryard
+
+#endif
--- a/include/fulmaryard/settings_parser.hpp
+++ b/include/fulmaryard/settings_parser.hpp
@@ -2,6 +2,7 @@
 #define FULMARYARD_SETTINGS_PARSER_HPP
 
 #include <fulmaryard/entry_settings.hpp>
+#include <fulmaryard/router_settings.hpp>
 #include <fulmaryard/side_settings.hpp>
 
 #include <absl/status/statusor.h>
@@ -15,11 +16,14 @@
 /// Reads process settings from a YAML file whose keys are the member names without `m_`.
 /// `invalid_request` with one line "FILE:LINE: KEY: expected ..." for each error.
 absl::StatusOr<entry_settings> parse_entry_settings(const std::string& path);
+absl::StatusOr<router_settings> parse_router_settings(const std::string& path);
 absl::StatusOr<side_settings> parse_side_settings(const std::string& path);
 
 /// The same from text; `file_name` appears in errors.
 absl::StatusOr<entry_settings>
 parse_entry_settings(std::string_view text, std::string_view file_name);
+absl::StatusOr<router_settings>
+parse_router_settings(std::string_view text, std::string_view file_name);
 absl::StatusOr<side_settings>
 parse_side_settings(std::string_view text, std::string_view file_name);
 
--- /dev/null
+++ b/src/accepted_call.hpp
@@ -0,0 +1,36 @@
+#ifndef FULMARYARD_ACCEPTED_CALL_HPP
+#define FULMARYARD_ACCEPTED_CALL_HPP
+
+#include <fulmaryard/routed_call.hpp>
+#include <fulmaryard/service_route.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace fulmaryard
+{
+
+/// A call with a route and an account, and the times that bound it.
+struct accepted_call
+{
+    using time_point = std::chrono::steady_clock::time_point;
+
+    routed_call m_call;
+    service_route m_route;
+    std::string m_service;
+    std::string m_account;
+    std::uint32_t m_priority{0};
+    time_point m_arrival;
+    time_point m_end; ///< The caller's deadline or the route's time-out.
+
+    std::chrono::milliseconds time_left(time_point now) const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_end - now);
+    }
+};
+
+} // namespace fulmaryard
+
+#endif
--- /dev/null
+++ b/src/channel_pool.cpp
@@ -0,0 +1,71 @@
+#include <fulmaryard/channel_pool.hpp>
+
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+// Idle connections to one address; more are open only while calls need them.
+constexpr std::size_t max_idle_per_address = 192;
+
+} // namespace
+
+std::unique_ptr<endpoint_channel>
+channel_pool::take(const std::string& address, std::chrono::milliseconds max_idle, time_point now)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return nullptr;
+    // The one used last is the least likely to be closed by its endpoint.
+    while (!found->second.empty())
+    {
+        idle_channel last = std::move(found->second.back());
+        if (now - last.m_since > max_idle)
+        {
+            found->second.push_back(std::move(last));
+            return nullptr;
+        }
+        found->second.pop_back();
+        if (now < last.m_channel->idle_until() && last.m_channel->quiet())
+            return std::move(last.m_channel);
+    }
+    return nullptr;
+}
+
+std::unique_ptr<endpoint_channel> channel_pool::make()
+{
+    return std::make_unique<endpoint_channel>(m_executor);
+}
+
+void channel_pool::put(std::unique_ptr<endpoint_channel> channel, time_point now)
+{
+    if (!channel->reusable())
+        return;
+    auto& idle = m_idle[channel->address()];
+    if (idle.size() < max_idle_per_address)
+        idle.push_back({std::move(channel), now});
+}
+
+void channel_pool::on_tick(time_point now)
+{
+    for (auto entry = m_idle.begin(); entry != m_idle.end();)
+    {
+        std::erase_if(
+            entry->second,
+            [now](const idle_channel& idle) { return now >= idle.m_channel->idle_until(); });
+        entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+}
+
+std::size_t channel_pool::idle() const
+{
+    std::size_t count = 0;
+    for (const auto& [address, idle] : m_idle)
+        count += idle.size();
+    return count;
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/endpoint_call.cpp
@@ -0,0 +1,58 @@
+#include <fulmaryard/endpoint_call.hpp>
+
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+// Kept-alive connections used up to this idle time, unless the endpoint states less.
+constexpr std::chrono::milliseconds max_idle{30'000};
+
+} // namespace
+
+asio::awaitable<absl::StatusOr<http_response>> call_endpoint(
+    channel_pool& channels, std::string address, http_request request,
+    std::chrono::milliseconds deadline)
+{
+    const auto due = std::chrono::steady_clock::now() + deadline;
+    request.m_fields.push_back({"Host", address});
+    auto channel = channels.take(address, max_idle, std::chrono::steady_clock::now());
+    for (bool reused = channel != nullptr;;)
+    {
+        if (!reused)
+        {
+            channel = channels.make();
+            const auto status = co_await channel->connect(address, due);
+            if (!status.ok())
+                co_return status;
+        }
+        absl::StatusOr<http_response> response = http_response{};
+        const auto status = co_await channel->send(request, due);
+        if (status.ok())
+            response = co_await channel->read_head(due);
+        else
+            response = status;
+        absl::StatusOr<bool> more = response.ok();
+        while (response.ok() && more.ok() && *more)
+            more = co_await channel->read_body(response->m_body, due);
+        if (response.ok() && more.ok())
+        {
+            channels.put(std::move(channel), std::chrono::steady_clock::now());
+            co_return response;
+        }
+        if (!reused)
+        {
+            if (response.ok())
+                co_return more.status();
+            co_return response;
+        }
+        reused = false;
+    }
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/endpoint_channel.cpp
@@ -0,0 +1,197 @@
+#include "http_conversion_inl.hpp"
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/endpoint_channel.hpp>
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/peer_address.hpp>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <charconv>
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+// Of an answer's header; endpoints send a few short fields.
+constexpr std::uint32_t max_header_bytes = 64 * 1024;
+
+// Read at once; events of a stream are far shorter.
+constexpr std::size_t read_bytes = 8 * 1024;
+
+// Idle time of a connection whose endpoint does not state one.
+constexpr std::chrono::milliseconds default_idle{2'000};
+
+// A connection is given up this long before its endpoint closes it.
+constexpr std::chrono::milliseconds idle_margin{700};
+
+absl::Status io_failure(const beast::error_code& error, dispatch_progress progress)
+{
+    const auto kind = error == beast::error::timeout ? failure_kind::deadline_exceeded
+                                                     : failure_kind::endpoint_lost;
+    return make_failure(kind, error.message(), progress);
+}
+
+std::chrono::milliseconds idle_time(std::string_view keep_alive)
+{
+    constexpr std::string_view key = "timeout=";
+    const auto at = keep_alive.find(key);
+    if (at == std::string_view::npos)
+        return default_idle;
+    std::uint32_t seconds = 0;
+    const char* begin = keep_alive.data() + at + key.size();
+    std::from_chars(begin, keep_alive.data() + keep_alive.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+struct endpoint_channel::state
+{
+    explicit state(const asio::any_io_executor& executor) : m_stream(executor) {}
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::string m_address;
+    std::chrono::milliseconds m_idle{default_idle};
+    time_point m_idle_until;
+    bool m_open{false};
+    bool m_complete{false}; ///< The last answer was read to its end.
+    bool m_keep{false};
+};
+
+endpoint_channel::endpoint_channel(asio::any_io_executor executor)
+    : m_state(std::make_unique<state>(executor))
+{
+}
+
+endpoint_channel::~endpoint_channel() = default;
+
+asio::awaitable<absl::Status> endpoint_channel::connect(std::string address, time_point deadline)
+{
+    m_state->m_address = std::move(address);
+    const auto endpoint = parse_address(m_state->m_address);
+    if (!endpoint.ok())
+        co_return endpoint.status();
+    m_state->m_stream.expires_at(deadline);
+    const auto [error] = co_await m_state->m_stream.async_connect(*endpoint, use_tuple);
+    if (error)
+        co_return io_failure(error, dispatch_progress::not_sent);
+    m_state->m_open = true;
+    beast::error_code ignored;
+    m_state->m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::Status>
+endpoint_channel::send(const http_request& request, time_point deadline)
+{
+    m_state->m_complete = false;
+    m_state->m_keep = false;
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.m_method);
+    message.target(request.m_target);
+    set_fields(message, request.m_fields);
+    message.body() = request.m_body;
+    message.prepare_payload();
+    m_state->m_stream.expires_at(deadline);
+    const auto [error, size] = co_await http::async_write(m_state->m_stream, message, use_tuple);
+    if (error)
+        co_return io_failure(error, dispatch_progress::sent);
+    co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::StatusOr<http_response>> endpoint_channel::read_head(time_point deadline)
+{
+    m_state->m_complete = false;
+    auto& parser = m_state->m_parser.emplace();
+    parser.header_limit(max_header_bytes);
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_state->m_stream.expires_at(deadline);
+    const auto [error, size] =
+        co_await http::async_read_header(m_state->m_stream, m_state->m_buffer, parser, use_tuple);
+    if (error)
+        co_return io_failure(error, dispatch_progress::sent);
+    m_state->m_complete = parser.is_done();
+    m_state->m_keep = parser.get().keep_alive();
+    m_state->m_idle = idle_time(parser.get()[http::field::keep_alive]);
+    m_state->m_idle_until = std::chrono::steady_clock::now() + m_state->m_idle - idle_margin;
+    co_return http_response{parser.get().result_int(), copy_fields(parser.get().base()), {}};
+}
+
+asio::awaitable<absl::StatusOr<bool>>
+endpoint_channel::read_body(std::string& body, time_point deadline)
+{
+    auto& parser = *m_state->m_parser;
+    if (parser.is_done())
+    {
+        m_state->m_complete = true;
+        co_return false;
+    }
+    std::array<char, read_bytes> bytes;
+    parser.get().body().data = bytes.data();
+    parser.get().body().size = bytes.size();
+    m_state->m_stream.expires_at(deadline);
+    auto [error, size] =
+        co_await http::async_read_some(m_state->m_stream, m_state->m_buffer, parser, use_tuple);
+    body.append(bytes.data(), bytes.size() - parser.get().body().size);
+    if (error == http::error::need_buffer)
+        error = {};
+    if (error)
+        co_return io_failure(error, dispatch_progress::sent);
+    m_state->m_complete = parser.is_done();
+    m_state->m_idle_until = std::chrono::steady_clock::now() + m_state->m_idle - idle_margin;
+    co_return !m_state->m_complete;
+}
+
+bool endpoint_channel::reusable() const
+{
+    return m_state->m_open && m_state->m_complete && m_state->m_keep;
+}
+
+bool endpoint_channel::quiet()
+{
+    if (m_state->m_buffer.size() != 0)
+        return false;
+    auto& socket = m_state->m_stream.socket();
+    beast::error_code error;
+    socket.non_blocking(true, error);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+endpoint_channel::time_point endpoint_channel::idle_until() const
+{
+    return m_state->m_idle_until;
+}
+
+void endpoint_channel::close()
+{
+    m_state->m_open = false;
+    m_state->m_stream.close();
+}
+
+const std::string& endpoint_channel::address() const
+{
+    return m_state->m_address;
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/endpoint_health.cpp
@@ -0,0 +1,60 @@
+#include <fulmaryard/endpoint_health.hpp>
+
+namespace fulmaryard
+{
+
+bool endpoint_health::suspect(const std::string& id, std::uint64_t started_ms, time_point now)
+{
+    const auto [entry, added] = m_own.try_emplace(id);
+    const bool other_run = entry->second.m_started_ms != started_ms;
+    entry->second.m_started_ms = started_ms;
+    entry->second.m_next_probe = now + probe_interval;
+    return added || other_run;
+}
+
+void endpoint_health::on_peer_suspicion(
+    const std::string& id, std::uint64_t started_ms, time_point now)
+{
+    m_peers[id] = {started_ms, now + peer_suspicion};
+}
+
+bool endpoint_health::clear(const std::string& id)
+{
+    return m_own.erase(id) > 0;
+}
+
+bool endpoint_health::suspected(
+    const std::string& id, std::uint64_t started_ms, time_point now) const
+{
+    if (const auto own = m_own.find(id); own != m_own.end())
+    {
+        if (own->second.m_started_ms == started_ms)
+            return true;
+    }
+    const auto peer = m_peers.find(id);
+    return peer != m_peers.end() && peer->second.m_started_ms == started_ms &&
+           now < peer->second.m_until;
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> endpoint_health::own() const
+{
+    std::vector<std::pair<std::string, std::uint64_t>> suspected;
+    for (const auto& [id, entry] : m_own)
+        suspected.emplace_back(id, entry.m_started_ms);
+    return suspected;
+}
+
+std::vector<std::string> endpoint_health::due_for_probe(time_point now)
+{
+    std::vector<std::string> due;
+    for (auto& [id, entry] : m_own)
+    {
+        if (now < entry.m_next_probe)
+            continue;
+        entry.m_next_probe = now + probe_interval;
+        due.push_back(id);
+    }
+    return due;
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/endpoint_membership.cpp
@@ -0,0 +1,78 @@
+#include <fulmaryard/endpoint_membership.hpp>
+
+#include <set>
+
+namespace fulmaryard
+{
+
+void endpoint_membership::on_listing(const std::vector<endpoint_record>& records, time_point now)
+{
+    std::set<std::string> listed;
+    for (const auto& record : records)
+    {
+        listed.insert(record.m_id);
+        on_changed(record);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, record] : m_endpoints)
+    {
+        if (!listed.contains(id))
+            missing.push_back(id);
+    }
+    for (const auto& id : missing)
+        on_removed(id, now);
+}
+
+void endpoint_membership::on_changed(const endpoint_record& record)
+{
+    m_endpoints[record.m_id] = record;
+    m_remove_at.erase(record.m_id);
+}
+
+void endpoint_membership::on_removed(const std::string& id, time_point now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end() || m_remove_at.contains(id))
+        return;
+    const bool lapsed = m_store_lost || (m_store_back && now - *m_store_back < relisting_grace);
+    // An endpoint that said that it leaves is not listed again.
+    if (lapsed && !found->second.m_leaving)
+        m_remove_at[id] = m_store_back.value_or(now) + relisting_grace;
+    else
+        m_endpoints.erase(found);
+}
+
+void endpoint_membership::on_store_lost(time_point)
+{
+    m_store_lost = true;
+}
+
+void endpoint_membership::on_store_back(time_point now)
+{
+    if (!m_store_lost)
+        return;
+    m_store_lost = false;
+    m_store_back = now;
+    for (auto& [id, at] : m_remove_at)
+        at = now + relisting_grace;
+}
+
+bool endpoint_membership::on_tick(time_point now)
+{
+    bool removed = false;
+    if (m_store_lost)
+        return removed;
+    for (auto entry = m_remove_at.begin(); entry != m_remove_at.end();)
+    {
+        if (now < entry->second)
+        {
+            ++entry;
+            continue;
+        }
+        removed = m_endpoints.erase(entry->first) > 0 || removed;
+        entry = m_remove_at.erase(entry);
+    }
+    return removed;
+}
+
+} // namespace fulmaryard
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -55,12 +55,13 @@
 public:
     connection_exchange(
         beast::tcp_stream& stream, std::uint64_t connection, http_request request, bool keep_alive,
-        std::chrono::milliseconds write_deadline)
+        std::chrono::milliseconds write_deadline, const std::atomic<bool>& closing)
         : m_stream(stream),
           m_connection(connection),
           m_request(std::move(request)),
           m_keep_alive(keep_alive),
-          m_write_deadline(write_deadline)
+          m_write_deadline(write_deadline),
+          m_closing(closing)
     {
     }
 
@@ -78,7 +79,7 @@
         http::response<http::string_body> message(static_cast<http::status>(response.m_status), 11);
         set_fields(message, response.m_fields);
         message.body() = std::move(response.m_body);
-        message.keep_alive(m_keep_alive);
+        message.keep_alive(m_keep_alive = m_keep_alive && !m_closing);
         message.prepare_payload();
         m_stream.expires_after(m_write_deadline);
         const auto [error, written] = co_await http::async_write(m_stream, message, use_tuple);
@@ -86,14 +87,20 @@
     }
 
     asio::awaitable<absl::Status> begin_events(std::vector<http_field> fields) override
+    {
+        fields.push_back({"Content-Type", "text/event-stream"});
+        fields.push_back({"Cache-Control", "no-store"});
+        http_response head{200, std::move(fields), {}};
+        return begin_chunked(std::move(head));
+    }
+
+    asio::awaitable<absl::Status> begin_chunked(http_response head) override
     {
         m_responded = true;
-        http::response<http::empty_body> message(http::status::ok, 11);
-        set_fields(message, fields);
-        message.set(http::field::content_type, "text/event-stream");
-        message.set(http::field::cache_control, "no-store");
+        http::response<http::empty_body> message(static_cast<http::status>(head.m_status), 11);
+        set_fields(message, head.m_fields);
         message.chunked(true);
-        message.keep_alive(m_keep_alive);
+        message.keep_alive(m_keep_alive = m_keep_alive && !m_closing);
         http::response_serializer<http::empty_body> serializer(message);
         m_stream.expires_after(m_write_deadline);
         const auto [error, written] =
@@ -135,6 +142,9 @@
 
     bool usable() const { return m_usable; }
 
+    /// Whether the response let the connection go on.
+    bool keep_alive() const { return m_keep_alive; }
+
     /// Ends a watch so that the next request can be read.
     void end_watch()
     {
@@ -200,6 +210,7 @@
     bool m_responded{false};
     bool m_usable{true};
     std::chrono::milliseconds m_write_deadline;
+    const std::atomic<bool>& m_closing;
     std::shared_ptr<client_watch> m_watch{std::make_shared<client_watch>()};
 };
 
@@ -293,6 +304,7 @@
     upgrade_handler m_on_upgrade;
     asio::ip::tcp::acceptor m_acceptor;
     std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_closing{false}; ///< Each response ends its connection.
     std::atomic<std::size_t> m_connections{0};
     std::uint64_t m_accepted{0}; ///< Used by the accept loop only.
     std::atomic<std::size_t> m_exchanges{0};
@@ -410,8 +422,8 @@
             std::string(message.method_string()), std::string(message.target()),
             copy_fields(message.base()), message.body()};
         connection_exchange exchange(
-            stream, connection, std::move(request), message.keep_alive(),
-            m_limits.m_write_deadline);
+            stream, connection, std::move(request), message.keep_alive(), m_limits.m_write_deadline,
+            m_closing);
         {
             const exchange_count counted(m_exchanges);
             co_await m_on_request(exchange);
@@ -423,7 +435,7 @@
             http_response empty{500, {}, {}};
             std::ignore = co_await exchange.respond(std::move(empty));
         }
-        if (!exchange.usable() || !message.keep_alive())
+        if (!exchange.usable() || !exchange.keep_alive())
             break;
     }
     beast::error_code ignored;
@@ -478,6 +490,11 @@
         });
 }
 
+void http_server::close_connections()
+{
+    m_state->m_closing = true;
+}
+
 std::size_t http_server::active_exchanges() const
 {
     return m_state->m_exchanges.load();
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -2,8 +2,13 @@
 
 #include <fmt/chrono.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <climits>
 #include <cstdio>
 #include <iterator>
 
@@ -15,6 +20,19 @@
 
 std::atomic<log_level> minimum_level{log_level::info};
 
+std::atomic<std::FILE*> output{stderr};
+std::atomic<std::uint64_t> left_out{0};
+
+// A pipe takes a line of up to this size whole or, when it has no room, not at all.
+constexpr std::size_t max_line_bytes = PIPE_BUF;
+
+/// Whether a line can be written without waiting for the reader.
+bool has_room(int descriptor)
+{
+    pollfd state{descriptor, POLLOUT, 0};
+    return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+}
+
 std::string& process_name()
 {
     static std::string name;
@@ -69,6 +87,11 @@
     minimum_level.store(level, std::memory_order_relaxed);
 }
 
+void set_log_output(std::FILE* stream) noexcept
+{
+    output.store(stream, std::memory_order_relaxed);
+}
+
 void set_log_process(std::string_view process)
 {
     process_name() = process;
@@ -92,9 +115,20 @@
 {
     if (!m_enabled)
         return;
+    const int descriptor = fileno(output.load(std::memory_order_relaxed));
+    if (!has_room(descriptor))
+    {
+        left_out.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    if (const auto count = left_out.exchange(0, std::memory_order_relaxed); count > 0)
+        append("lines_left_out_before", fmt::format("{}", count));
+    m_line.resize(std::min(m_line.size(), max_line_bytes - 1));
     m_line += '\n';
-    // One fwrite per line: stdio locks the stream, so lines of several threads do not mix.
-    std::fwrite(m_line.data(), 1, m_line.size(), stderr);
+    // One write per line, so that lines of several threads do not mix. The descriptor is never in
+    // non-blocking mode, as other processes may share it.
+    if (write(descriptor, m_line.data(), m_line.size()) < 0)
+        left_out.fetch_add(1, std::memory_order_relaxed);
 }
 
 void log_event::append(std::string_view key, std::string_view value)
--- /dev/null
+++ b/src/path_finder.cpp
@@ -0,0 +1,182 @@
+#include <fulmaryard/path_finder.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+// More parts than this are refused by endpoints.
+constexpr std::size_t max_hops = 32;
+
+// Makes a path of few long parts cheaper than one of many short parts, in milliseconds a hop.
+constexpr double hop_cost = 0.3;
+
+/// The cheapest way to run all layers before a boundary with `m_candidate` as the last endpoint.
+struct partial_path
+{
+    double m_cost{std::numeric_limits<double>::infinity()};
+    std::size_t m_candidate{0};
+    std::size_t m_from{0}; ///< Index of the boundary at which the last part begins.
+    std::size_t m_previous{0};
+    std::size_t m_hops{0};
+
+    bool reached() const { return m_cost < std::numeric_limits<double>::infinity(); }
+};
+
+class search
+{
+public:
+    search(const std::vector<path_candidate>& candidates, const path_query& query)
+        : m_candidates(candidates),
+          m_query(query)
+    {
+        m_boundaries = {query.m_begin, query.m_layers};
+        for (const auto& candidate : candidates)
+        {
+            if (!usable(candidate))
+                continue;
+            const auto& layers = candidate.m_layers;
+            m_boundaries.push_back(std::clamp(layers.m_begin, query.m_begin, query.m_layers));
+            m_boundaries.push_back(std::clamp(layers.m_end, query.m_begin, query.m_layers));
+        }
+        std::sort(m_boundaries.begin(), m_boundaries.end());
+        m_boundaries.erase(
+            std::unique(m_boundaries.begin(), m_boundaries.end()), m_boundaries.end());
+        m_best.assign(
+            m_boundaries.size(), std::vector<partial_path>(candidates.size(), partial_path{}));
+    }
+
+    std::vector<path_hop> run()
+    {
+        for (std::size_t from = 0; from + 1 < m_boundaries.size(); ++from)
+            extend(from);
+        return trace();
+    }
+
+private:
+    bool usable(const path_candidate& candidate) const
+    {
+        return candidate.m_layers.m_begin < candidate.m_layers.m_end &&
+               (m_query.m_domain.empty() || candidate.m_failure_domain == m_query.m_domain);
+    }
+
+    bool may_begin(const path_candidate& candidate) const
+    {
+        return m_query.m_begin > 0 || candidate.m_places > 0;
+    }
+
+    /// Whether the partial path that ends with `last` at `boundary` uses `candidate`.
+    bool uses(std::size_t boundary, std::size_t last, std::size_t candidate) const
+    {
+        while (boundary > 0)
+        {
+            const auto& part = m_best[boundary][last];
+            if (last == candidate)
+                return true;
+            boundary = part.m_from;
+            last = part.m_previous;
+        }
+        return false;
+    }
+
+    void extend(std::size_t from)
+    {
+        for (std::size_t next = 0; next < m_candidates.size(); ++next)
+        {
+            const auto& candidate = m_candidates[next];
+            if (!usable(candidate) || candidate.m_layers.m_begin > m_boundaries[from] ||
+                candidate.m_layers.m_end <= m_boundaries[from])
+                continue;
+            if (from == 0 && !may_begin(candidate))
+                continue;
+            const auto before = cheapest_before(from, next);
+            if (!before)
+                continue;
+            for (std::size_t to = from + 1; to < m_boundaries.size(); ++to)
+            {
+                if (m_boundaries[to] > candidate.m_layers.m_end)
+                    break;
+                const double layers = m_boundaries[to] - m_boundaries[from];
+                if (candidate.m_free_memory < layers * m_query.m_tokens)
+                    break;
+                partial_path part;
+                part.m_cost = before->m_cost + layers * candidate.m_layer_cost + hop_cost;
+                part.m_candidate = next;
+                part.m_from = from;
+                part.m_previous = before->m_candidate;
+                part.m_hops = before->m_hops + 1;
+                if (part.m_hops <= max_hops && part.m_cost < m_best[to][next].m_cost)
+                    m_best[to][next] = part;
+            }
+        }
+    }
+
+    std::optional<partial_path> cheapest_before(std::size_t from, std::size_t next) const
+    {
+        if (from == 0)
+        {
+            partial_path start;
+            start.m_cost = 0;
+            return start;
+        }
+        std::optional<partial_path> cheapest;
+        for (std::size_t last = 0; last < m_candidates.size(); ++last)
+        {
+            partial_path part = m_best[from][last];
+            if (last == next || !part.reached())
+                continue;
+            if (m_candidates[last].m_failure_domain != m_candidates[next].m_failure_domain)
+                part.m_cost += m_query.m_crossing_cost;
+            if ((!cheapest || part.m_cost < cheapest->m_cost) && !uses(from, last, next))
+                cheapest = part;
+        }
+        return cheapest;
+    }
+
+    std::vector<path_hop> trace() const
+    {
+        std::size_t boundary = m_boundaries.size() - 1;
+        std::size_t last = 0;
+        for (std::size_t i = 1; i < m_candidates.size(); ++i)
+        {
+            if (m_best[boundary][i].m_cost < m_best[boundary][last].m_cost)
+                last = i;
+        }
+        std::vector<path_hop> path;
+        if (m_candidates.empty() || !m_best[boundary][last].reached())
+            return path;
+        while (boundary > 0)
+        {
+            const auto& part = m_best[boundary][last];
+            const auto& candidate = m_candidates[last];
+            path.push_back(
+                {candidate.m_endpoint,
+                 candidate.m_address,
+                 {m_boundaries[part.m_from], m_boundaries[boundary]}});
+            boundary = part.m_from;
+            last = part.m_previous;
+        }
+        std::reverse(path.begin(), path.end());
+        return path;
+    }
+
+    const std::vector<path_candidate>& m_candidates;
+    const path_query& m_query;
+    std::vector<std::uint32_t> m_boundaries;
+    std::vector<std::vector<partial_path>> m_best; ///< By boundary and last candidate.
+};
+
+} // namespace
+
+std::vector<path_hop>
+find_path(const std::vector<path_candidate>& candidates, const path_query& query)
+{
+    return search(candidates, query).run();
+}
+
+} // namespace fulmaryard
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -3,14 +3,6 @@
 namespace fulmaryard
 {
 
-namespace
-{
-
-constexpr std::uint64_t retry_floor = 10;
-constexpr std::uint64_t requests_per_retry = 10;
-
-} // namespace
-
 retry_budget::second& retry_budget::slot(time_point now)
 {
     const std::int64_t time =
@@ -38,7 +30,7 @@
         requests += past.m_requests;
         retries += past.m_retries;
     }
-    if (retries >= requests / requests_per_retry + retry_floor)
+    if (retries >= requests * m_settings.m_percent / 100 + m_settings.m_floor)
         return false;
     ++current.m_retries;
     return true;
--- /dev/null
+++ b/src/router_core.cpp
@@ -0,0 +1,231 @@
+#include "router_core.hpp"
+
+#include <fulmaryard/log.hpp>
+#include <fulmaryard/path_finder.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+// Part of an endpoint's memory that is planned with: expected lengths are wrong by a little, and an
+// endpoint without memory interrupts a running request.
+constexpr double planned_memory_share = 0.92;
+
+// An endpoint that refused gets no new request for this long: the lag of its report.
+constexpr std::chrono::milliseconds refusal_pause{200};
+
+} // namespace
+
+router_core::router_core(
+    boost::asio::io_context& io, const router_settings& settings, const endpoint_protocol& protocol)
+    : m_io(io),
+      m_settings(settings),
+      m_protocol(protocol),
+      m_channels(io.get_executor()),
+      m_random(std::random_device{}())
+{
+}
+
+const endpoint_record* router_core::find_endpoint(const std::string& id) const
+{
+    const auto& endpoints = m_membership.endpoints();
+    const auto found = endpoints.find(id);
+    return found == endpoints.end() ? nullptr : &found->second;
+}
+
+const endpoint_record* router_core::find_endpoint_at(const std::string& address) const
+{
+    for (const auto& [id, record] : m_membership.endpoints())
+    {
+        if (record.m_address == address)
+            return &record;
+    }
+    return nullptr;
+}
+
+bool router_core::usable(const endpoint_record& record) const
+{
+    return !record.m_leaving &&
+           !m_health.suspected(record.m_id, record.m_started_ms, std::chrono::steady_clock::now());
+}
+
+bool router_core::lost(const std::string& id) const
+{
+    const auto* record = find_endpoint(id);
+    return record == nullptr ||
+           m_health.suspected(id, record->m_started_ms, std::chrono::steady_clock::now());
+}
+
+layer_range router_core::layers_of(const endpoint_record& record) const
+{
+    const auto reported = m_reported_layers.find(record.m_id);
+    if (reported != m_reported_layers.end() && reported->second.first == record.m_started_ms)
+        return reported->second.second;
+    return record.m_layers;
+}
+
+void router_core::suspect(const std::string& id, std::string_view reason)
+{
+    const auto* record = find_endpoint(id);
+    if (record == nullptr)
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    if (m_health.suspect(id, record->m_started_ms, now))
+    {
+        log_event(log_level::warning, "endpoint_suspected")
+            .with("endpoint", id)
+            .with("address", record->m_address)
+            .with("reason", reason);
+    }
+}
+
+void router_core::clear_suspicion(const std::string& id)
+{
+    if (m_health.clear(id))
+        log_event(log_level::info, "endpoint_answers").with("endpoint", id);
+}
+
+void router_core::note_refusal(const std::string& id)
+{
+    m_refused_until[id] = std::chrono::steady_clock::now() + refusal_pause;
+}
+
+void router_core::count_request(const std::string& service)
+{
+    const auto found = m_budgets.try_emplace(
+        service, retry_budget_settings{m_settings.m_retry_percent, m_settings.m_retry_floor});
+    found.first->second.on_request(std::chrono::steady_clock::now());
+}
+
+bool router_core::try_retry(const std::string& service)
+{
+    const auto found = m_budgets.find(service);
+    return found != m_budgets.end() && found->second.try_retry(std::chrono::steady_clock::now());
+}
+
+double router_core::expected_tokens(const routed_call& call, const pipeline_engine& engine)
+{
+    double answer = static_cast<double>(call.m_expected_answer_tokens);
+    if (call.m_expected_answer_tokens == 0)
+        answer = engine.m_usual_answer;
+    if (call.m_max_answer_tokens > 0)
+        answer = std::min(answer, static_cast<double>(call.m_max_answer_tokens));
+    return static_cast<double>(call.m_prompt_tokens) + answer;
+}
+
+std::vector<path_candidate>
+router_core::candidates(const routed_service& service, const std::set<std::string>& avoided) const
+{
+    const auto& engine = *service.m_engine;
+    const auto now = std::chrono::steady_clock::now();
+    const double bytes_per_layer = engine.m_token_bytes / engine.m_layers;
+    std::vector<path_candidate> result;
+    for (const auto& [id, record] : m_membership.endpoints())
+    {
+        if (record.m_service != service.m_name || avoided.contains(id) || !usable(record))
+            continue;
+        const auto refused = m_refused_until.find(id);
+        if (refused != m_refused_until.end() && now < refused->second)
+            continue;
+        const auto* kind = engine.find_kind(record.m_accelerator);
+        const auto layers = layers_of(record);
+        if (kind == nullptr || layers.m_begin >= layers.m_end)
+            continue;
+        const auto use = m_room.use(id, now);
+        const double free_mb =
+            kind->m_memory_mb - (layers.m_end - layers.m_begin) * engine.m_layer_mb;
+        const double step =
+            engine.m_step_ms + engine.m_step_per_request_ms * static_cast<double>(use.m_parts);
+        path_candidate candidate;
+        candidate.m_endpoint = id;
+        candidate.m_address = record.m_address;
+        candidate.m_failure_domain = record.m_failure_domain;
+        candidate.m_layers = layers;
+        candidate.m_free_memory =
+            free_mb * 1e6 * planned_memory_share / bytes_per_layer - use.m_memory;
+        candidate.m_layer_cost = step * kind->m_step_factor / engine.m_layers;
+        candidate.m_places = static_cast<std::int64_t>(engine.m_batch_places) - use.m_firsts;
+        result.push_back(std::move(candidate));
+    }
+    return result;
+}
+
+std::vector<path_hop> router_core::find_path(
+    const routed_service& service, double tokens, const std::set<std::string>& avoided) const
+{
+    const auto all = candidates(service, avoided);
+    path_query query;
+    query.m_layers = service.m_engine->m_layers;
+    query.m_tokens = tokens;
+    std::map<std::string, double> room_of_domain;
+    for (const auto& candidate : all)
+        room_of_domain[candidate.m_failure_domain] += candidate.m_free_memory;
+    std::vector<std::pair<double, std::string>> domains;
+    for (const auto& [domain, room] : room_of_domain)
+    {
+        const bool own = domain == m_settings.m_failure_domain;
+        domains.emplace_back(own ? -std::numeric_limits<double>::infinity() : -room, domain);
+    }
+    std::sort(domains.begin(), domains.end());
+    for (const auto& [room, domain] : domains)
+    {
+        query.m_domain = domain;
+        auto path = fulmaryard::find_path(all, query);
+        if (!path.empty())
+            return path;
+    }
+    query.m_domain.clear();
+    return fulmaryard::find_path(all, query);
+}
+
+std::vector<path_hop> router_core::find_path_behind(
+    const routed_service& service, double tokens, const path_hop& first) const
+{
+    const auto all = candidates(service, {first.m_endpoint});
+    path_query query;
+    query.m_begin = first.m_layers.m_end;
+    query.m_layers = service.m_engine->m_layers;
+    query.m_tokens = tokens;
+    const auto* record = find_endpoint(first.m_endpoint);
+    query.m_domain = record == nullptr ? "" : record->m_failure_domain;
+    auto rest = fulmaryard::find_path(all, query);
+    if (rest.empty())
+    {
+        query.m_domain.clear();
+        rest = fulmaryard::find_path(all, query);
+    }
+    if (!rest.empty())
+        rest.insert(rest.begin(), first);
+    return rest;
+}
+
+std::string
+router_core::choose_endpoint(const std::string& service, const std::set<std::string>& avoided) const
+{
+    std::string best;
+    std::pair<std::int64_t, bool> lowest{};
+    for (const auto& [id, record] : m_membership.endpoints())
+    {
+        if (record.m_service != service || avoided.contains(id) || !usable(record))
+            continue;
+        const auto calls = m_plain_calls.find(id);
+        // Of equally loaded endpoints one in the own domain is nearer.
+        const std::pair<std::int64_t, bool> rank{
+            calls == m_plain_calls.end() ? 0 : calls->second,
+            record.m_failure_domain != m_settings.m_failure_domain};
+        if (best.empty() || rank < lowest)
+        {
+            best = id;
+            lowest = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/router_gossip.cpp
@@ -0,0 +1,173 @@
+#include "router_gossip.hpp"
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/log.hpp>
+#include <fulmaryard/peer_address.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <fmt/format.h>
+
+#include <array>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+// Room changes by a few requests in this time.
+constexpr std::chrono::milliseconds shortest_interval{150};
+
+// With many routers each tells less often, so that what one receives stays bounded.
+constexpr std::chrono::milliseconds interval_per_router{12};
+
+// The largest datagram; 100 endpoints take about 5 KB.
+constexpr std::size_t max_datagram = 60'000;
+
+} // namespace
+
+router_gossip::router_gossip(router_core& core) : m_core(core), m_socket(core.m_io) {}
+
+absl::Status router_gossip::open()
+{
+    const auto address = parse_address(m_core.m_settings.m_peer_listen);
+    if (!address.ok())
+        return address.status();
+    boost::system::error_code error;
+    m_socket.open(asio::ip::udp::v4(), error);
+    if (!error)
+        m_socket.bind({address->address(), address->port()}, error);
+    if (error)
+    {
+        return make_failure(
+            failure_kind::internal,
+            fmt::format("cannot bind {}: {}", m_core.m_settings.m_peer_listen, error.message()));
+    }
+    m_socket.non_blocking(true, error);
+    asio::co_spawn(m_core.m_io, receive(), asio::detached);
+    return absl::OkStatus();
+}
+
+void router_gossip::set_routers(const std::vector<std::string>& addresses)
+{
+    m_routers.clear();
+    for (const auto& text : addresses)
+    {
+        if (text == m_core.m_settings.m_peer_listen)
+            continue;
+        const auto address = parse_address(text);
+        if (address.ok())
+            m_routers.emplace_back(address->address(), address->port());
+        else
+        {
+            log_event(log_level::warning, "router_entry_refused")
+                .with("address", text)
+                .with("error", message_of(address.status()));
+        }
+    }
+}
+
+void router_gossip::on_tick(std::chrono::steady_clock::time_point now)
+{
+    if (now < m_next || m_routers.empty())
+        return;
+    m_next =
+        now + std::max(shortest_interval, interval_per_router * static_cast<int>(m_routers.size()));
+    const auto text = encode();
+    for (const auto& router : m_routers)
+    {
+        // A datagram that the socket does not take is made good by the next.
+        boost::system::error_code ignored;
+        m_socket.send_to(asio::buffer(text), router, 0, ignored);
+    }
+}
+
+std::string router_gossip::encode() const
+{
+    json::object use;
+    for (const auto& [endpoint, held] : m_core.m_room.own())
+    {
+        use[endpoint] =
+            json::array{static_cast<std::int64_t>(held.m_memory), held.m_firsts, held.m_parts};
+    }
+    json::array suspected;
+    for (const auto& [endpoint, started] : m_core.m_health.own())
+        suspected.push_back(json::array{endpoint, started});
+    json::array layers;
+    for (const auto& [endpoint, reported] : m_core.m_told_layers)
+    {
+        const auto& [started, range] = reported;
+        layers.push_back(json::array{endpoint, started, range.m_begin, range.m_end});
+    }
+    return json::serialize(json::object{
+        {"router", m_core.m_settings.m_name},
+        {"use", std::move(use)},
+        {"suspected", std::move(suspected)},
+        {"layers", std::move(layers)}});
+}
+
+asio::awaitable<void> router_gossip::receive()
+{
+    std::vector<char> buffer(max_datagram);
+    asio::ip::udp::endpoint sender;
+    for (;;)
+    {
+        const auto [error, size] =
+            co_await m_socket.async_receive_from(asio::buffer(buffer), sender, use_tuple);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        // An error reports a datagram that a router which ended did not take.
+        if (!error)
+            decode(std::string_view(buffer.data(), size));
+    }
+}
+
+void router_gossip::decode(std::string_view text)
+{
+    const auto now = std::chrono::steady_clock::now();
+    try
+    {
+        const auto value = json::parse(boost::json::string_view(text.data(), text.size()));
+        const auto& message = value.as_object();
+        request_room::use_by_endpoint use;
+        for (const auto& [endpoint, held] : message.at("use").as_object())
+        {
+            const auto& numbers = held.as_array();
+            use[std::string(endpoint)] = {
+                numbers.at(0).to_number<double>(), numbers.at(1).to_number<std::int64_t>(),
+                numbers.at(2).to_number<std::int64_t>()};
+        }
+        for (const auto& item : message.at("suspected").as_array())
+        {
+            const auto& pair = item.as_array();
+            m_core.m_health.on_peer_suspicion(
+                pair.at(0).as_string().c_str(), pair.at(1).to_number<std::uint64_t>(), now);
+        }
+        for (const auto& item : message.at("layers").as_array())
+        {
+            const auto& entry = item.as_array();
+            m_core.m_reported_layers[entry.at(0).as_string().c_str()] = {
+                entry.at(1).to_number<std::uint64_t>(),
+                {entry.at(2).to_number<std::uint32_t>(), entry.at(3).to_number<std::uint32_t>()}};
+        }
+        m_core.m_room.on_peer_report(message.at("router").as_string().c_str(), std::move(use), now);
+    }
+    catch (const std::exception& error)
+    {
+        log_event(log_level::warning, "gossip_unreadable").with("error", error.what());
+    }
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/router_process.cpp
@@ -0,0 +1,425 @@
+#include "accepted_call.hpp"
+#include "layer_controller.hpp"
+#include "plain_session.hpp"
+#include "router_core.hpp"
+#include "router_gossip.hpp"
+#include "router_streams.hpp"
+#include "stream_session.hpp"
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/endpoint_call.hpp>
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/http_exchange.hpp>
+#include <fulmaryard/http_server.hpp>
+#include <fulmaryard/log.hpp>
+#include <fulmaryard/metric_counter.hpp>
+#include <fulmaryard/process_lifecycle.hpp>
+#include <fulmaryard/router_process.hpp>
+#include <fulmaryard/stream_id.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds tick_interval{50};
+
+// Longest time that a caller may take and keep a connection idle; callers are told no figure, so
+// this lies above any that operators set.
+constexpr std::chrono::milliseconds caller_idle{60'000};
+
+// After SIGTERM new requests are still served for this long, as callers are sent on until
+// readiness has been asked for twice.
+constexpr std::chrono::milliseconds shortest_drain{2'500};
+
+// The process ends this long before it would be killed.
+constexpr std::chrono::milliseconds end_before_kill{400};
+
+// When a router that does not know its configuration yet expects to.
+constexpr std::chrono::milliseconds configuration_return{500};
+
+constexpr std::chrono::milliseconds probe_deadline{300};
+
+constexpr std::size_t max_header_bytes = 64 * 1024;
+constexpr std::size_t max_body_bytes = 16 * 1024 * 1024;
+
+http_server_limits caller_limits(const router_settings& settings)
+{
+    http_server_limits limits;
+    limits.m_max_header_bytes = max_header_bytes;
+    limits.m_max_body_bytes = max_body_bytes;
+    limits.m_max_connections = settings.m_max_connections;
+    limits.m_idle_deadline = caller_idle;
+    return limits;
+}
+
+} // namespace
+
+class router_process::impl : public platform_listener
+{
+public:
+    impl(
+        asio::io_context& io, router_settings settings, const endpoint_protocol& protocol,
+        object_store& store, settings_source reload)
+        : m_io(io),
+          m_settings(std::move(settings)),
+          m_core(io, m_settings, protocol),
+          m_streams(m_core),
+          m_gossip(m_core),
+          m_layers(
+              m_core, store,
+              fmt::format("{}/{}", m_settings.m_name, fulmaryard::to_string(make_stream_id()))),
+          m_reload(std::move(reload)),
+          m_lifecycle([](lifecycle_phase phase)
+                      { log_event(log_level::info, "lifecycle").with("phase", to_string(phase)); }),
+          m_callers(
+              io, caller_limits(m_settings),
+              [this](http_exchange& exchange) { return serve(exchange); }),
+          m_ready(io, {}, [this](http_exchange& exchange) { return serve_readiness(exchange); }),
+          m_inspection(
+              io, {}, [this](http_exchange& exchange) { return serve_inspection(exchange); }),
+          m_signals(io, SIGTERM, SIGHUP),
+          m_tick(io)
+    {
+        m_core.m_streams = &m_streams;
+        m_core.m_on_room = [this] { m_streams.on_room(); };
+    }
+
+    absl::Status run()
+    {
+        for (auto [server, address] :
+             {std::pair{&m_callers, &m_settings.m_listen},
+              std::pair{&m_ready, &m_settings.m_ready_listen},
+              std::pair{&m_inspection, &m_settings.m_metrics_listen}})
+        {
+            const auto port = server->listen(*address);
+            if (!port.ok())
+                return port.status();
+        }
+        if (auto status = m_gossip.open(); !status.ok())
+            return status;
+        log_event(log_level::info, "router_started")
+            .with("listen", m_settings.m_listen)
+            .with("domain", m_settings.m_failure_domain);
+        wait_for_signal();
+        asio::co_spawn(m_io, tick(), asio::detached);
+        m_io.run();
+        log_event(log_level::info, "router_stopped").with("streams", m_streams.size());
+        return absl::OkStatus();
+    }
+
+    void on_configuration(routing_configuration configuration) override
+    {
+        const auto version = configuration.m_version;
+        if (m_core.m_table != nullptr && version <= m_core.m_table->version())
+        {
+            if (version < m_core.m_table->version())
+            {
+                log_event(log_level::warning, "configuration_refused")
+                    .with("version", version)
+                    .with("in_force", m_core.m_table->version());
+            }
+            return;
+        }
+        m_core.m_table = std::make_shared<const routing_table>(std::move(configuration));
+        const auto& in_force = m_core.m_table->configuration();
+        log_event(log_level::info, "configuration_in_force")
+            .with("version", version)
+            .with("routes", in_force.m_routes.size())
+            .with("services", in_force.m_services.size())
+            .with("accounts", in_force.m_accounts.size());
+        m_lifecycle.become_ready();
+    }
+
+    void on_endpoint_listing(const std::vector<endpoint_record>& records) override
+    {
+        for (const auto& record : records)
+            note_change(record);
+        m_core.m_membership.on_listing(records, steady::now());
+        log_event(log_level::info, "endpoints_listed").with("endpoints", records.size());
+        m_core.m_on_room();
+    }
+
+    void on_endpoint_changed(const endpoint_record& record) override
+    {
+        note_change(record);
+        m_core.m_membership.on_changed(record);
+        m_core.m_on_room();
+    }
+
+    void on_endpoint_removed(const std::string& id) override
+    {
+        log_event(log_level::info, "endpoint_removed").with("endpoint", id);
+        m_core.m_membership.on_removed(id, steady::now());
+    }
+
+    void on_routers(const std::vector<std::string>& addresses) override
+    {
+        m_gossip.set_routers(addresses);
+    }
+
+    void on_store_lost() override
+    {
+        log_event(log_level::warning, "store_lost");
+        m_core.m_membership.on_store_lost(steady::now());
+    }
+
+    void on_store_back() override
+    {
+        log_event(log_level::info, "store_back");
+        m_core.m_membership.on_store_back(steady::now());
+    }
+
+private:
+    void note_change(const endpoint_record& record)
+    {
+        const auto* before = m_core.find_endpoint(record.m_id);
+        if (before != nullptr && *before == record)
+            return;
+        // An entry that says something else about layers is newer than what was reported.
+        if (before == nullptr || before->m_layers != record.m_layers ||
+            before->m_started_ms != record.m_started_ms)
+        {
+            m_core.m_reported_layers.erase(record.m_id);
+            m_core.m_told_layers.erase(record.m_id);
+        }
+        log_event(log_level::info, "endpoint_changed")
+            .with("endpoint", record.m_id)
+            .with("service", record.m_service)
+            .with("address", record.m_address)
+            .with("domain", record.m_failure_domain)
+            .with("accelerator", record.m_accelerator)
+            .with("layers", fmt::format("{}-{}", record.m_layers.m_begin, record.m_layers.m_end))
+            .with("leaving", record.m_leaving)
+            .with("started_ms", record.m_started_ms);
+    }
+
+    /// Reads, checks and routes a request; answers it here when it has no route or account.
+    asio::awaitable<void> serve(http_exchange& exchange)
+    {
+        const auto arrival = steady::now();
+        auto call = m_core.m_protocol.read_call(exchange.request());
+        if (!call.ok())
+        {
+            http_response bad{400, {}, {}};
+            co_await exchange.respond(std::move(bad));
+            co_return;
+        }
+        const auto table = m_core.m_table;
+        unsigned refused = 0;
+        std::string reason;
+        const service_route* route = nullptr;
+        const routing_account* account = nullptr;
+        if (table == nullptr)
+        {
+            refused = 503;
+            reason = "no configuration yet";
+        }
+        else
+        {
+            route = table->find_route(call->m_host, path_of(call->m_request.m_target));
+            account = table->find_account(call->m_key);
+            if (route == nullptr)
+            {
+                refused = 404;
+                reason = "no route";
+            }
+            else if (account == nullptr && table->needs_key() && !route->m_public)
+            {
+                refused = 401;
+                reason = "unknown key";
+            }
+        }
+        if (refused != 0)
+        {
+            log_event(log_level::info, "request_rejected")
+                .with("request", call->m_id)
+                .with("status", refused)
+                .with("reason", reason)
+                .with("host", call->m_host)
+                .with("target", call->m_request.m_target)
+                .with("version", table == nullptr ? 0 : table->version());
+            m_core.m_metrics
+                .counter(
+                    "fulmaryard_router_rejections_total", fmt::format("status=\"{}\"", refused))
+                .add();
+            auto response = m_core.m_protocol.refusal(
+                *call, refused,
+                refused == 503 ? configuration_return : std::chrono::milliseconds(0));
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        accepted_call accepted;
+        accepted.m_call = *std::move(call);
+        accepted.m_route = *route;
+        accepted.m_service = table->choose_service(*route, m_core.draw());
+        accepted.m_account = account == nullptr ? "" : account->m_name;
+        accepted.m_priority =
+            account != nullptr && account->m_priority ? *account->m_priority : route->m_priority;
+        accepted.m_arrival = arrival;
+        auto longest = route->m_timeout;
+        if (accepted.m_call.m_deadline.count() > 0)
+            longest = std::min(longest, accepted.m_call.m_deadline);
+        accepted.m_end = arrival + longest;
+        const auto* service = table->find_service(accepted.m_service);
+        if (service != nullptr && service->m_engine)
+        {
+            stream_session session(m_core, exchange, std::move(accepted));
+            co_await session.run();
+        }
+        else
+        {
+            plain_session session(m_core, exchange, std::move(accepted));
+            co_await session.run();
+        }
+    }
+
+    asio::awaitable<void> serve_readiness(http_exchange& exchange)
+    {
+        const bool ready = m_lifecycle.phase() == lifecycle_phase::ready;
+        http_response response{ready ? 200U : 503U, {}, {}};
+        co_await exchange.respond(std::move(response));
+    }
+
+    asio::awaitable<void> serve_inspection(http_exchange& exchange)
+    {
+        http_response response{200, {{"Content-Type", "text/plain"}}, {}};
+        if (path_of(exchange.request().m_target) == "/metrics")
+            response.m_body = m_core.m_metrics.expose();
+        else
+            response.m_status = 404;
+        co_await exchange.respond(std::move(response));
+    }
+
+    asio::awaitable<void> tick()
+    {
+        while (!m_stopped)
+        {
+            const auto now = steady::now();
+            if (m_core.m_membership.on_tick(now))
+                log_event(log_level::info, "endpoints_expired");
+            m_streams.on_tick(now);
+            m_gossip.on_tick(now);
+            m_layers.on_tick(now);
+            m_core.m_channels.on_tick(now);
+            for (const auto& endpoint : m_core.m_health.due_for_probe(now))
+                asio::co_spawn(m_io, probe(endpoint), asio::detached);
+            m_tick.expires_after(tick_interval);
+            co_await m_tick.async_wait(use_tuple);
+        }
+    }
+
+    asio::awaitable<void> probe(std::string endpoint)
+    {
+        const auto* record = m_core.find_endpoint(endpoint);
+        if (record == nullptr)
+        {
+            m_core.clear_suspicion(endpoint);
+            co_return;
+        }
+        http_request query = m_core.m_protocol.write_load_query();
+        const auto response = co_await call_endpoint(
+            m_core.m_channels, record->m_address, std::move(query), probe_deadline);
+        if (response.ok())
+            m_core.clear_suspicion(endpoint);
+    }
+
+    void wait_for_signal()
+    {
+        m_signals.async_wait(
+            [this](const boost::system::error_code& error, int signal)
+            {
+                if (error)
+                    return;
+                if (signal == SIGTERM)
+                    asio::co_spawn(m_io, drain(), asio::detached);
+                else
+                    reload();
+                wait_for_signal();
+            });
+    }
+
+    void reload()
+    {
+        const auto status = m_reload();
+        if (status.ok())
+            log_event(log_level::info, "settings_reloaded");
+        else
+        {
+            log_event(log_level::error, "settings_refused").with("error", message_of(status));
+        }
+    }
+
+    asio::awaitable<void> drain()
+    {
+        if (!m_lifecycle.begin_drain())
+            co_return;
+        const auto start = steady::now();
+        const auto last =
+            start + std::chrono::milliseconds(m_settings.m_grace_ms) - end_before_kill;
+        m_callers.close_connections();
+        asio::steady_timer timer(m_io);
+        while (steady::now() < last)
+        {
+            if (steady::now() >= start + shortest_drain && m_callers.active_exchanges() == 0)
+                break;
+            timer.expires_after(tick_interval);
+            co_await timer.async_wait(use_tuple);
+        }
+        m_callers.stop_accepting();
+        m_lifecycle.finish_drain();
+        m_stopped = true;
+        m_io.stop();
+    }
+
+    asio::io_context& m_io;
+    router_settings m_settings;
+    router_core m_core;
+    router_streams m_streams;
+    router_gossip m_gossip;
+    layer_controller m_layers;
+    settings_source m_reload;
+    process_lifecycle m_lifecycle;
+    http_server m_callers;
+    http_server m_ready;
+    http_server m_inspection;
+    asio::signal_set m_signals;
+    asio::steady_timer m_tick;
+    bool m_stopped{false};
+};
+
+router_process::router_process(
+    asio::io_context& io, router_settings settings, const endpoint_protocol& protocol,
+    object_store& store, settings_source reload)
+    : m_impl(std::make_unique<impl>(io, std::move(settings), protocol, store, std::move(reload)))
+{
+}
+
+router_process::~router_process() = default;
+
+platform_listener& router_process::listener()
+{
+    return *m_impl;
+}
+
+absl::Status router_process::run()
+{
+    return m_impl->run();
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/router_streams.cpp
@@ -0,0 +1,222 @@
+#include "router_streams.hpp"
+#include "stream_session.hpp"
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/endpoint_call.hpp>
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/log.hpp>
+#include <fulmaryard/metric_counter.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+// A stream without an event for this long is looked into. Streams that run have an event every few
+// tens of milliseconds.
+constexpr std::chrono::milliseconds stall_suspected{300};
+
+// A stream that has had no event for this long goes on elsewhere although nothing explains the
+// silence; callers leave after two seconds.
+constexpr std::chrono::milliseconds stall_unexplained{1'300};
+
+// Between two questions to the same endpoint: the lag of its report.
+constexpr std::chrono::milliseconds ask_interval{200};
+
+// For a report or an order to be answered: several round trips.
+constexpr std::chrono::milliseconds answer_deadline{400};
+
+// Orders to take another path that one stall is worth; then the stream starts elsewhere.
+constexpr int max_repaths = 3;
+
+// A refused caller counts as returning until this long after the time that it was given.
+constexpr std::chrono::milliseconds promise_grace{4'000};
+
+} // namespace
+
+std::uint64_t router_streams::add(stream_session& session)
+{
+    m_sessions[++m_next_id] = &session;
+    return m_next_id;
+}
+
+void router_streams::remove(std::uint64_t id)
+{
+    m_sessions.erase(id);
+}
+
+void router_streams::add_promise(const accepted_call& accepted, time_point when)
+{
+    m_promises[{accepted.m_account, accepted.m_call.m_subject}] = when + promise_grace;
+}
+
+bool router_streams::take_promise(const accepted_call& accepted)
+{
+    const auto found = m_promises.find({accepted.m_account, accepted.m_call.m_subject});
+    if (found == m_promises.end())
+        return false;
+    const bool valid = steady::now() < found->second;
+    m_promises.erase(found);
+    return valid;
+}
+
+void router_streams::on_room()
+{
+    const auto next = m_core.m_line.next();
+    if (!next)
+        return;
+    const auto session = m_sessions.find(*next);
+    if (session != m_sessions.end())
+        session->second->on_room();
+}
+
+void router_streams::on_tick(time_point now)
+{
+    std::erase_if(m_promises, [now](const auto& promise) { return now > promise.second; });
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, session] : m_sessions)
+        ids.push_back(id);
+    for (const auto id : ids)
+    {
+        const auto found = m_sessions.find(id);
+        if (found == m_sessions.end() || !found->second->running())
+            continue;
+        auto& session = *found->second;
+        move_from_lost(session, now);
+        const auto silent = now - session.last_progress();
+        if (silent > stall_unexplained && !session.m_repath_pending)
+            session.abandon_attempt("no event");
+        else if (silent > stall_suspected && !session.path().empty())
+            check_first(session.path().front().m_endpoint, now);
+    }
+    on_room();
+}
+
+void router_streams::move_from_lost(stream_session& session, time_point now)
+{
+    if (session.path().empty() || session.m_repath_pending)
+        return;
+    const auto& first = session.path().front().m_endpoint;
+    if (m_core.lost(first) && now - session.last_progress() > stall_suspected)
+    {
+        session.abandon_attempt("first endpoint lost");
+        return;
+    }
+    const bool part_lost = std::any_of(
+        session.path().begin() + 1, session.path().end(),
+        [this](const path_hop& hop)
+        {
+            const auto* record = m_core.find_endpoint(hop.m_endpoint);
+            return record == nullptr || !m_core.usable(*record);
+        });
+    if (!part_lost)
+        return;
+    if (session.m_repaths >= max_repaths)
+    {
+        if (now - session.last_progress() > stall_suspected)
+            session.abandon_attempt("no other path accepted");
+        return;
+    }
+    session.m_repath_pending = true;
+    asio::co_spawn(m_core.m_io, repath(session.id()), asio::detached);
+}
+
+void router_streams::check_first(const std::string& endpoint, time_point now)
+{
+    auto& asked = m_asked[endpoint];
+    if (now - asked < ask_interval)
+        return;
+    asked = now;
+    asio::co_spawn(m_core.m_io, ask_first(endpoint), asio::detached);
+}
+
+asio::awaitable<void> router_streams::ask_first(std::string endpoint)
+{
+    const auto* record = m_core.find_endpoint(endpoint);
+    if (record == nullptr)
+        co_return;
+    http_request query = m_core.m_protocol.write_load_query();
+    const auto response = co_await call_endpoint(
+        m_core.m_channels, record->m_address, std::move(query), answer_deadline);
+    if (!response.ok())
+    {
+        m_core.suspect(endpoint, message_of(response.status()));
+        co_return;
+    }
+    const auto load = m_core.m_protocol.read_load(*response);
+    if (!load.ok())
+    {
+        log_event(log_level::warning, "report_unreadable")
+            .with("endpoint", endpoint)
+            .with("error", message_of(load.status()));
+        co_return;
+    }
+    for (const auto& stalled : load->m_stalled)
+    {
+        const auto* at_fault = m_core.find_endpoint_at(stalled.m_address);
+        if (at_fault != nullptr)
+            m_core.suspect(at_fault->m_id, "calls stall at it");
+    }
+}
+
+asio::awaitable<void> router_streams::repath(std::uint64_t id)
+{
+    const auto find = [this, id]() -> stream_session*
+    {
+        const auto found = m_sessions.find(id);
+        return found == m_sessions.end() ? nullptr : found->second;
+    };
+    auto* session = find();
+    const auto* service = m_core.m_table == nullptr
+                              ? nullptr
+                              : m_core.m_table->find_service(session->accepted().m_service);
+    if (service == nullptr || session->path().empty())
+    {
+        session->m_repath_pending = false;
+        co_return;
+    }
+    const auto first = session->path().front();
+    // What the stream holds now is free for its next path.
+    m_core.m_room.release(session->path(), session->tokens());
+    auto path = m_core.find_path_behind(*service, session->tokens(), first);
+    m_core.m_room.take(session->path(), session->tokens());
+    if (path.empty())
+    {
+        session->m_repath_pending = false;
+        co_return;
+    }
+    http_request order = m_core.m_protocol.write_repath(session->accepted().m_call.m_id, path);
+    m_core.m_metrics.counter("fulmaryard_router_repath_orders_total").add();
+    const auto response = co_await call_endpoint(
+        m_core.m_channels, first.m_address, std::move(order), answer_deadline);
+    session = find();
+    if (session == nullptr)
+        co_return;
+    session->m_repath_pending = false;
+    ++session->m_repaths;
+    const bool accepted = response.ok() && response->m_status >= 200 && response->m_status < 300;
+    if (accepted && session->running() && !session->path().empty())
+    {
+        session->on_repath(std::move(path));
+        co_return;
+    }
+    log_event(log_level::info, "repath_refused")
+        .with("request", session->accepted().m_call.m_id)
+        .with("status", response.ok() ? response->m_status : 0)
+        .with("error", response.ok() ? response->m_body : message_of(response.status()));
+    if (response.ok() && response->m_status == 404)
+        session->abandon_attempt("its first endpoint does not know it");
+}
+
+} // namespace fulmaryard
--- a/src/settings_fields.hpp
+++ b/src/settings_fields.hpp
@@ -5,6 +5,7 @@
 #include "text_checks.hpp"
 
 #include <fulmaryard/entry_settings.hpp>
+#include <fulmaryard/router_settings.hpp>
 #include <fulmaryard/side_settings.hpp>
 
 namespace fulmaryard
@@ -45,6 +46,26 @@
     field{"planner", &entry_settings::m_planner, field_rules{false, 0, 0, check_planner}},
     field{"recovery", &entry_settings::m_recovery, field_rules{false, 0, 0, check_recovery}}};
 
+template <>
+inline constexpr auto field_table<router_settings> = std::tuple{
+    field{"name", &router_settings::m_name, field_rules{true, 0, 0, check_name}},
+    field{"region", &router_settings::m_region, field_rules{true, 0, 0, check_name}},
+    field{
+        "failure_domain", &router_settings::m_failure_domain, field_rules{true, 0, 0, check_name}},
+    field{"platform", &router_settings::m_platform, field_rules{true, 0, 0, check_address}},
+    field{"listen", &router_settings::m_listen, field_rules{true, 0, 0, check_address}},
+    field{"ready_listen", &router_settings::m_ready_listen, field_rules{true, 0, 0, check_address}},
+    field{
+        "metrics_listen", &router_settings::m_metrics_listen,
+        field_rules{true, 0, 0, check_address}},
+    field{"peer_listen", &router_settings::m_peer_listen, field_rules{true, 0, 0, check_address}},
+    field{"log_level", &router_settings::m_log_level, field_rules{false, 0, 0, check_log_level}},
+    field{"grace_ms", &router_settings::m_grace_ms, field_rules{false, 500, 86'400'000}},
+    field{"retry_percent", &router_settings::m_retry_percent, field_rules{false, 0, 100}},
+    field{"retry_floor", &router_settings::m_retry_floor, field_rules{false, 0, 100'000}},
+    field{
+        "max_connections", &router_settings::m_max_connections, field_rules{false, 1, 1'000'000}}};
+
 template <>
 inline constexpr auto field_table<side_settings> = std::tuple{
     field{"name", &side_settings::m_name, field_rules{true, 0, 0, check_name}},
--- a/src/settings_parser.cpp
+++ b/src/settings_parser.cpp
@@ -27,6 +27,12 @@
     }
 }
 
+void check_semantics(const router_settings& settings, yaml_reader& reader)
+{
+    if (settings.m_listen == settings.m_ready_listen)
+        reader.add_error("ready_listen", "expected another address than listen");
+}
+
 void check_semantics(const side_settings& settings, yaml_reader& reader)
 {
     if (settings.m_engine.empty() == settings.m_worker.empty())
@@ -70,6 +76,17 @@
     return parse_settings_file<entry_settings>(path);
 }
 
+absl::StatusOr<router_settings> parse_router_settings(const std::string& path)
+{
+    return parse_settings_file<router_settings>(path);
+}
+
+absl::StatusOr<router_settings>
+parse_router_settings(std::string_view text, std::string_view file_name)
+{
+    return parse_settings<router_settings>(text, file_name);
+}
+
 absl::StatusOr<side_settings> parse_side_settings(const std::string& path)
 {
     return parse_settings_file<side_settings>(path);
--- /dev/null
+++ b/src/stream_session.cpp
@@ -0,0 +1,492 @@
+#include "stream_session.hpp"
+#include "router_streams.hpp"
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/log.hpp>
+#include <fulmaryard/metric_counter.hpp>
+#include <fulmaryard/metric_histogram.hpp>
+
+#include <fmt/format.h>
+
+#include <array>
+#include <utility>
+
+namespace fulmaryard
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+// Several round trips between failure domains; an endpoint that lives accepts within one.
+constexpr std::chrono::milliseconds connect_deadline{250};
+
+// A kept-alive connection is used up to this idle time, unless its endpoint states less.
+constexpr std::chrono::milliseconds max_idle{30'000};
+
+// Attempts of one call, of any kind; keeps a call from circling through a broken fleet.
+constexpr std::uint32_t max_tries = 6;
+
+// Answers of other calls that are read over before the own one.
+constexpr int max_foreign_answers = 3;
+
+// Time between the end of a wait for room and the first event: reading a usual prompt.
+constexpr int objective_share_for_waiting = 2;
+
+// A caller that returns has waited already; its turn comes within this time.
+constexpr std::chrono::milliseconds returning_wait{1'000};
+
+// An answer at the deadline still has to reach the caller.
+constexpr std::chrono::milliseconds end_margin{30};
+
+std::size_t whole_events(std::string_view text)
+{
+    std::size_t end = 0;
+    for (const std::string_view separator : {"\n\n", "\r\n\r\n"})
+    {
+        const auto at = text.rfind(separator);
+        if (at != std::string_view::npos)
+            end = std::max(end, at + separator.size());
+    }
+    return end;
+}
+
+/// Calls `visit` with each whole event of `text`.
+template <typename Visit>
+void for_each_event(std::string_view text, Visit visit)
+{
+    while (!text.empty())
+    {
+        auto end = text.find("\n\n");
+        const auto other = text.find("\r\n\r\n");
+        std::size_t size = 2;
+        if (other < end)
+        {
+            end = other;
+            size = 4;
+        }
+        if (end == std::string_view::npos)
+            return;
+        visit(text.substr(0, end + size));
+        text.remove_prefix(end + size);
+    }
+}
+
+std::string describe(const std::vector<path_hop>& path)
+{
+    std::string text;
+    for (const auto& hop : path)
+    {
+        text += fmt::format(
+            "{}{}={}-{}", text.empty() ? "" : ",", hop.m_address, hop.m_layers.m_begin,
+            hop.m_layers.m_end);
+    }
+    return text;
+}
+
+} // namespace
+
+stream_session::stream_session(router_core& core, http_exchange& exchange, accepted_call accepted)
+    : m_core(core),
+      m_exchange(exchange),
+      m_accepted(std::move(accepted)),
+      m_table(core.m_table),
+      m_id(core.m_streams->add(*this)),
+      m_turn(exchange.executor()),
+      m_last_event(m_accepted.m_call.m_resume_after)
+{
+}
+
+stream_session::~stream_session()
+{
+    release_path();
+    m_core.m_line.remove(m_id);
+    m_core.m_streams->remove(m_id);
+}
+
+const routed_service* stream_session::service() const
+{
+    return m_table->find_service(m_accepted.m_service);
+}
+
+void stream_session::on_room()
+{
+    m_turn.cancel();
+}
+
+void stream_session::abandon_attempt(std::string_view reason)
+{
+    if (m_channel == nullptr || m_abandoned)
+        return;
+    log_event(log_level::info, "attempt_abandoned")
+        .with("request", m_accepted.m_call.m_id)
+        .with("reason", reason)
+        .with("path", describe(m_path))
+        .with("events", m_events);
+    m_abandoned = true;
+    m_channel->close();
+}
+
+void stream_session::on_repath(std::vector<path_hop> path)
+{
+    log_event(log_level::info, "stream_repathed")
+        .with("request", m_accepted.m_call.m_id)
+        .with("path", describe(path))
+        .with("events", m_events);
+    release_path();
+    set_path(std::move(path));
+    m_last_progress = steady::now();
+}
+
+void stream_session::set_path(std::vector<path_hop> path)
+{
+    m_path = std::move(path);
+    m_core.m_room.take(m_path, m_tokens);
+}
+
+void stream_session::release_path()
+{
+    if (m_path.empty())
+        return;
+    m_core.m_room.release(m_path, m_tokens);
+    m_path.clear();
+    m_core.m_line.on_released(m_tokens, steady::now());
+    m_core.m_on_room();
+}
+
+asio::awaitable<void> stream_session::run()
+{
+    m_tokens = router_core::expected_tokens(m_accepted.m_call, *service()->m_engine);
+    m_returning = m_core.m_streams->take_promise(m_accepted);
+    m_core.count_request(m_accepted.m_service);
+    m_exchange.watch_client(
+        [this]
+        {
+            m_gone = true;
+            if (m_channel != nullptr)
+                m_channel->close();
+            m_turn.cancel();
+        });
+    for (;;)
+    {
+        const bool placed = co_await find_room();
+        if (m_gone)
+            co_return log_end("caller_left", "before it was sent");
+        if (!placed)
+        {
+            if (m_responded)
+                co_return co_await give_up("no path for the rest of the stream");
+            co_return co_await refuse("no room");
+        }
+        const auto end = co_await attempt();
+        m_channel.reset();
+        release_path();
+        if (m_gone)
+            co_return log_end("caller_left", "while it ran");
+        if (end == attempt_end::complete)
+            co_return log_end("answered", "");
+        if (end == attempt_end::passed_on)
+            co_return log_end("failed_by_endpoint", "");
+        if (may_try_again(end))
+            continue;
+        if (!m_responded && end != attempt_end::broken)
+            co_return co_await refuse("refused by its endpoints");
+        co_return co_await give_up("broken off");
+    }
+}
+
+bool stream_session::may_try_again(attempt_end end)
+{
+    const auto now = steady::now();
+    if (now + end_margin >= m_accepted.m_end || m_tries >= max_tries)
+        return false;
+    if (end == attempt_end::unreachable)
+        return true;
+    if (end == attempt_end::broken && !m_accepted.m_route.m_resumable &&
+        (m_responded || m_last_event))
+        return false;
+    // Sends that a lost endpoint cut off do not count against the route's limit.
+    if (m_sends - m_cut_sends >= m_accepted.m_route.m_attempts && end != attempt_end::not_run)
+        return false;
+    if (end == attempt_end::not_run && m_sends >= m_accepted.m_route.m_attempts + m_cut_sends)
+        return false;
+    return m_core.try_retry(m_accepted.m_service);
+}
+
+asio::awaitable<bool> stream_session::find_room()
+{
+    const auto start = steady::now();
+    const bool fresh = !m_responded && m_tries == 0;
+    std::chrono::milliseconds patience =
+        m_accepted.m_route.m_objective / objective_share_for_waiting;
+    if (m_returning || !fresh)
+        patience = returning_wait;
+    wait_line::waiting_request request{
+        m_id, m_returning || !fresh, m_accepted.m_priority, m_tokens,
+        std::min(start + patience, m_accepted.m_end - end_margin)};
+    if (m_core.m_line.empty() || !fresh)
+    {
+        auto path = m_core.find_path(*service(), m_tokens, m_avoided);
+        if (!path.empty())
+        {
+            set_path(std::move(path));
+            co_return true;
+        }
+    }
+    if (fresh && !m_core.m_line.worth_waiting(request, start))
+        co_return false;
+    m_core.m_line.add(request);
+    while (!m_gone && steady::now() < request.m_give_up_at)
+    {
+        m_turn.expires_at(request.m_give_up_at);
+        co_await m_turn.async_wait(use_tuple);
+        if (m_gone || m_core.m_line.next() != m_id)
+            continue;
+        auto path = m_core.find_path(*service(), m_tokens, m_avoided);
+        if (path.empty())
+            continue;
+        m_core.m_line.remove(m_id);
+        set_path(std::move(path));
+        m_core.m_on_room(); // The next in line may fit too.
+        co_return true;
+    }
+    m_core.m_line.remove(m_id);
+    m_core.m_on_room();
+    co_return false;
+}
+
+asio::awaitable<std::optional<stream_session::attempt_end>>
+stream_session::open_channel(bool& reused)
+{
+    const auto now = steady::now();
+    const auto address = m_path.front().m_address;
+    m_channel = reused ? m_core.m_channels.take(address, max_idle, now) : nullptr;
+    reused = m_channel != nullptr;
+    if (reused)
+        co_return std::nullopt;
+    m_channel = m_core.m_channels.make();
+    const auto status = co_await m_channel->connect(address, now + connect_deadline);
+    if (status.ok())
+        co_return std::nullopt;
+    if (!m_gone)
+        m_core.suspect(m_path.front().m_endpoint, message_of(status));
+    co_return attempt_end::unreachable;
+}
+
+asio::awaitable<stream_session::attempt_end> stream_session::attempt()
+{
+    ++m_tries;
+    m_abandoned = false;
+    m_repaths = 0;
+    m_sent = steady::now();
+    m_last_progress = m_sent;
+    const auto first = m_path.front().m_endpoint;
+    call_target target;
+    target.m_endpoint = first;
+    target.m_address = m_path.front().m_address;
+    target.m_path = m_path;
+    target.m_account = m_accepted.m_account;
+    target.m_time_left = m_accepted.time_left(m_sent);
+    target.m_resume_after = m_last_event;
+    target.m_urgency = std::min<std::uint32_t>(m_accepted.m_priority, 9);
+    const auto request = m_core.m_protocol.write_call(m_accepted.m_call, target);
+    absl::StatusOr<http_response> response = http_response{};
+    // A kept-alive connection may prove closed; the call then goes over a new one.
+    for (bool reused = true;;)
+    {
+        if (const auto failed = co_await open_channel(reused))
+            co_return *failed;
+        auto status = co_await m_channel->send(request, m_accepted.m_end);
+        if (status.ok())
+            response = co_await m_channel->read_head(m_accepted.m_end);
+        else
+            response = status;
+        if (response.ok() || !reused || m_gone || m_abandoned)
+            break;
+        reused = false;
+    }
+    ++m_sends;
+    answer_head head;
+    for (int foreign = 0; response.ok(); ++foreign)
+    {
+        head = m_core.m_protocol.read_answer(
+            m_accepted.m_call, response->m_status, response->m_fields);
+        if (head.m_own || foreign == max_foreign_answers)
+            break;
+        std::string skipped;
+        absl::StatusOr<bool> more = true;
+        while (more.ok() && *more)
+            more = co_await m_channel->read_body(skipped, m_accepted.m_end);
+        if (!more.ok())
+            response = more.status();
+        else
+            response = co_await m_channel->read_head(m_accepted.m_end);
+    }
+    if (!response.ok() || !head.m_own)
+    {
+        m_cut_sends += m_abandoned || m_core.lost(first) ? 1 : 0;
+        m_avoided.insert(first);
+        co_return attempt_end::broken;
+    }
+    if (head.m_not_run)
+    {
+        const auto* at_fault = m_core.find_endpoint_at(head.m_at_fault);
+        const auto refused_by = at_fault != nullptr ? at_fault->m_id : first;
+        m_core.note_refusal(refused_by);
+        log_event(log_level::info, "attempt_refused")
+            .with("request", m_accepted.m_call.m_id)
+            .with("status", head.m_status)
+            .with("endpoint", refused_by)
+            .with("path", describe(m_path));
+        m_core.m_metrics.counter("fulmaryard_router_refused_attempts_total").add();
+        co_await relay_failure(std::move(head)); // Reads the body, so that the connection is kept.
+        co_return attempt_end::not_run;
+    }
+    if (head.m_status < 200 || head.m_status >= 300 || !head.m_signed)
+        co_return co_await relay_failure(std::move(head));
+    co_return co_await relay_events(std::move(head));
+}
+
+asio::awaitable<stream_session::attempt_end> stream_session::relay_failure(answer_head head)
+{
+    std::string body;
+    absl::StatusOr<bool> more = true;
+    while (more.ok() && *more)
+        more = co_await m_channel->read_body(body, m_accepted.m_end);
+    if (!more.ok())
+        co_return attempt_end::broken;
+    m_core.m_channels.put(std::move(m_channel), steady::now());
+    if (head.m_not_run)
+        co_return attempt_end::not_run;
+    m_avoided.insert(m_path.front().m_endpoint);
+    const bool again = head.m_status >= 500 && m_accepted.m_route.m_resumable &&
+                       m_sends < m_accepted.m_route.m_attempts + m_cut_sends;
+    if (m_responded || again || (head.m_status < 300 && !head.m_signed))
+        co_return attempt_end::broken;
+    http_response answer{head.m_status, std::move(head.m_fields), std::move(body)};
+    m_responded = true;
+    co_await m_exchange.respond(std::move(answer));
+    co_return attempt_end::passed_on;
+}
+
+asio::awaitable<stream_session::attempt_end> stream_session::relay_events(answer_head head)
+{
+    std::string text;
+    for (absl::StatusOr<bool> more = true; *more;)
+    {
+        more = co_await m_channel->read_body(text, m_accepted.m_end);
+        const auto size = whole_events(text);
+        std::string passed;
+        for_each_event(
+            std::string_view(text).substr(0, size),
+            [&](std::string_view event)
+            {
+                const auto number = m_core.m_protocol.event_id(event);
+                // A continued stream may begin with events that the caller has.
+                if (number && m_last_event && *number <= *m_last_event)
+                    return;
+                if (number)
+                    m_last_event = number;
+                ++m_events;
+                passed += event;
+            });
+        text.erase(0, size);
+        if (!passed.empty() && !m_gone)
+        {
+            const auto now = steady::now();
+            m_last_progress = now;
+            m_repaths = 0;
+            if (!m_responded)
+            {
+                m_responded = true;
+                m_core.m_metrics.histogram("fulmaryard_router_first_event_seconds")
+                    .record(now - m_accepted.m_arrival);
+                http_response begin{head.m_status, std::move(head.m_fields), {}};
+                const auto status = co_await m_exchange.begin_chunked(std::move(begin));
+                m_gone = m_gone || !status.ok();
+            }
+            const auto status = co_await m_exchange.send_events(passed);
+            m_gone = m_gone || !status.ok();
+        }
+        if (m_gone)
+            co_return attempt_end::broken;
+        if (!more.ok())
+        {
+            m_cut_sends += m_abandoned || m_core.lost(m_path.front().m_endpoint) ? 1 : 0;
+            co_return attempt_end::broken;
+        }
+    }
+    // The end of an answer without a length may lie in the middle of an event.
+    if (!text.empty())
+        co_return attempt_end::broken;
+    m_core.m_channels.put(std::move(m_channel), steady::now());
+    if (!m_responded)
+    {
+        http_response whole{head.m_status, std::move(head.m_fields), {}};
+        m_responded = true;
+        co_await m_exchange.respond(std::move(whole));
+    }
+    else
+        co_await m_exchange.end_events();
+    co_return attempt_end::complete;
+}
+
+asio::awaitable<void> stream_session::refuse(std::string_view reason)
+{
+    const auto now = steady::now();
+    const auto retry_after = m_core.m_line.promise_return(m_tokens, now);
+    m_core.m_streams->add_promise(m_accepted, now + retry_after);
+    m_core.m_metrics.counter("fulmaryard_router_refusals_total").add();
+    log_event(log_level::info, "request_refused")
+        .with("request", m_accepted.m_call.m_id)
+        .with("reason", reason)
+        .with("tokens", m_tokens)
+        .with("waiting", m_core.m_line.size())
+        .with("returning", m_returning)
+        .with("retry_after_ms", retry_after.count())
+        .with(
+            "held_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_accepted.m_arrival)
+                .count());
+    auto response = m_core.m_protocol.refusal(m_accepted.m_call, 503, retry_after);
+    m_responded = true;
+    co_await m_exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> stream_session::give_up(std::string_view reason)
+{
+    log_end("broken_off", reason);
+    if (m_responded)
+    {
+        m_exchange.abort_connection();
+        co_return;
+    }
+    auto response = m_core.m_protocol.refusal(
+        m_accepted.m_call, steady::now() >= m_accepted.m_end ? 504 : 502, {});
+    m_responded = true;
+    co_await m_exchange.respond(std::move(response));
+}
+
+void stream_session::log_end(std::string_view outcome, std::string_view reason)
+{
+    const auto now = steady::now();
+    m_core.m_metrics
+        .counter("fulmaryard_router_streams_total", fmt::format("outcome=\"{}\"", outcome))
+        .add();
+    log_event line(outcome == "answered" ? log_level::debug : log_level::info, "stream_ended");
+    line.with("request", m_accepted.m_call.m_id)
+        .with("outcome", outcome)
+        .with("reason", reason)
+        .with("events", m_events)
+        .with("attempts", m_tries)
+        .with(
+            "after_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_accepted.m_arrival)
+                .count());
+}
+
+} // namespace fulmaryard
--- /dev/null
+++ b/src/stream_session.hpp
@@ -0,0 +1,107 @@
+#ifndef FULMARYARD_STREAM_SESSION_HPP
+#define FULMARYARD_STREAM_SESSION_HPP
+
+#include "accepted_call.hpp"
+#include "router_core.hpp"
+
+#include <fulmaryard/answer_head.hpp>
+#include <fulmaryard/http_exchange.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace fulmaryard
+{
+
+/// Carries one stream from its caller over a path of endpoints, and over another path when an
+/// endpoint is lost. The caller sees one response without a missing or repeated event.
+class stream_session
+{
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    stream_session(router_core& core, http_exchange& exchange, accepted_call accepted);
+    ~stream_session();
+
+    stream_session(const stream_session&) = delete;
+    stream_session& operator=(const stream_session&) = delete;
+
+    boost::asio::awaitable<void> run();
+
+    std::uint64_t id() const { return m_id; }
+    const accepted_call& accepted() const { return m_accepted; }
+    const std::vector<path_hop>& path() const { return m_path; }
+    double tokens() const { return m_tokens; }
+    time_point last_progress() const { return m_last_progress; }
+    time_point sent() const { return m_sent; }
+    bool running() const { return m_channel != nullptr; }
+
+    /// Wakes the session if it waits for room.
+    void on_room();
+
+    /// Gives up the running attempt, so that the stream goes on over another path.
+    void abandon_attempt(std::string_view reason);
+
+    /// The first endpoint has accepted to go on over `path`.
+    void on_repath(std::vector<path_hop> path);
+
+    int m_repaths{0};             ///< Orders to take another path since the last progress.
+    bool m_repath_pending{false}; ///< Such an order is under way.
+
+private:
+    enum class attempt_end
+    {
+        complete,    ///< The caller has the whole answer.
+        not_run,     ///< Refused; nothing ran.
+        unreachable, ///< Nothing was sent.
+        broken,      ///< Ran, and ended before its end.
+        passed_on    ///< The endpoint's own failure was passed to the caller.
+    };
+
+    boost::asio::awaitable<bool> find_room();
+    boost::asio::awaitable<attempt_end> attempt();
+    boost::asio::awaitable<std::optional<attempt_end>> open_channel(bool& reused);
+    boost::asio::awaitable<attempt_end> relay_events(answer_head head);
+    boost::asio::awaitable<attempt_end> relay_failure(answer_head head);
+    boost::asio::awaitable<void> refuse(std::string_view reason);
+    boost::asio::awaitable<void> give_up(std::string_view reason);
+    bool may_try_again(attempt_end end);
+    void set_path(std::vector<path_hop> path);
+    void release_path();
+    const routed_service* service() const;
+    void log_end(std::string_view outcome, std::string_view reason);
+
+    router_core& m_core;
+    http_exchange& m_exchange;
+    accepted_call m_accepted;
+    std::shared_ptr<const routing_table> m_table;
+    std::uint64_t m_id;
+    double m_tokens{0};
+    std::vector<path_hop> m_path;
+    std::set<std::string>
+        m_avoided; ///< First endpoints that this stream will not be sent to again.
+    std::unique_ptr<endpoint_channel> m_channel;
+    boost::asio::steady_timer m_turn;
+    time_point m_last_progress;
+    time_point m_sent;
+    std::optional<std::uint64_t> m_last_event;
+    std::uint64_t m_events{0};
+    std::uint32_t m_sends{0};     ///< Attempts that an endpoint received.
+    std::uint32_t m_cut_sends{0}; ///< Of these, attempts that a lost endpoint cut off.
+    std::uint32_t m_tries{0};     ///< All attempts, also those that reached no endpoint.
+    bool m_gone{false};           ///< The caller has left.
+    bool m_abandoned{false};
+    bool m_returning{false};
+    bool m_responded{false};
+};
+
+} // namespace fulmaryard
+
+#endif
