--- a/src/channel_pool.cpp
+++ b/src/channel_pool.cpp
@@ -22,12 +22,9 @@
     // The one used last is the least likely to be closed by its endpoint.
     while (!found->second.empty())
     {
-        idle_channel last = std::move(found->second.back());
-        if (now - last.m_since > max_idle)
-        {
-            found->second.push_back(std::move(last));
+        if (now - found->second.back().m_since > max_idle)
             return nullptr;
-        }
+        idle_channel last = std::move(found->second.back());
         found->second.pop_back();
         if (now < last.m_channel->idle_until() && last.m_channel->quiet())
             return std::move(last.m_channel);
