Divide a failure domain into copies by speed; end routers without giving up late requests

Cause: one copy over all endpoints of a domain crosses the slow cards with half of its layers, so a token took 27 to 37 ms (streams_ended lines, three domains) and long answers missed their deadline; a lost endpoint left no other way inside its domain. Lease polls were a third of the store calls. Change: copies are runs of endpoints in order of speed that complete the most requests a second; endpoints left over hold the layers that the fewest others hold. Paths go to the domain where a token is fastest. 2.5 s after SIGTERM new requests are refused as not run. Ruled out: a lack of stage throughput (prefill 10% of a stage) and memory (255,000 tokens a domain).

--- a/include/fulmaryard/lease_holder.hpp
+++ b/include/fulmaryard/lease_holder.hpp
@@ -18,6 +18,10 @@
 /// Read the lease object and call `lease_holder::on_read`.
 struct read_lease
 {
+    /// Whether an answer that is a little old will do: a write that follows from it names the
+    /// version that was read, and fails if there is a newer one.
+    bool m_stale_allowed{false};
+
     friend bool operator==(const read_lease&, const read_lease&) = default;
 };
 
@@ -80,7 +84,7 @@
         write
     };
 
-    lease_action start_read(time_point now);
+    lease_action start_read(time_point now, bool stale_allowed = false);
     lease_action start_write(const lease& value, std::uint64_t version, time_point now);
     void accept_write(std::uint64_t version);
 
--- a/include/fulmaryard/object_store.hpp
+++ b/include/fulmaryard/object_store.hpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
 
 namespace fulmaryard
 {
@@ -27,6 +28,13 @@
     virtual boost::asio::awaitable<absl::StatusOr<platform_object>>
     get(std::string name, std::chrono::milliseconds deadline) = 0;
 
+    /// Reads one object; the answer may be seconds old, and the call costs less.
+    virtual boost::asio::awaitable<absl::StatusOr<platform_object>>
+    get_stale(std::string name, std::chrono::milliseconds deadline)
+    {
+        return get(std::move(name), deadline);
+    }
+
     /// Writes an object if its version is still `version`, 0 meaning that it must not exist.
     /// Returns the new version.
     virtual boost::asio::awaitable<absl::StatusOr<std::uint64_t>>
--- a/src/layer_controller.cpp
+++ b/src/layer_controller.cpp
@@ -105,7 +105,9 @@
     {
         if (std::holds_alternative<read_lease>(*next))
         {
-            const auto object = co_await m_store.get(name, store_deadline);
+            const auto read = std::get<read_lease>(*next).m_stale_allowed ? &object_store::get_stale
+                                                                          : &object_store::get;
+            const auto object = co_await (m_store.*read)(name, store_deadline);
             next = m_lease.on_read(object, boot_time());
         }
         else
@@ -188,7 +190,7 @@
             const bool ordered = planned != m_plan.m_endpoints.end() &&
                                  planned->second.m_started_ms == record.m_started_ms;
             domains[record.m_failure_domain].push_back(
-                {id, record.m_failure_domain, kind->m_memory_mb,
+                {id, record.m_failure_domain, kind->m_memory_mb, kind->m_step_factor,
                  ordered ? planned->second.m_layers : loaded, loaded});
         }
         for (const auto& [domain, members] : domains)
--- a/src/layer_placement.cpp
+++ b/src/layer_placement.cpp
@@ -1,7 +1,6 @@
 #include <fulmaryard/layer_placement.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace fulmaryard
@@ -10,6 +9,16 @@
 namespace
 {
 
+// Requests for which an endpoint keeps memory at least. Below this it would be full at once.
+constexpr double fewest_requests = 4;
+
+// Requests for which a spare keeps memory: about those that one lost endpoint leaves behind.
+constexpr double spare_requests = 20;
+
+// Time that one more endpoint in a path adds to each token, milliseconds: a transfer within a
+// failure domain and the wait for the endpoint's running pass.
+constexpr double hop_ms = 0.5;
+
 bool empty(layer_range layers)
 {
     return layers.m_begin >= layers.m_end;
@@ -20,24 +29,26 @@
     return empty(layers) ? 0 : layers.m_end - layers.m_begin;
 }
 
-/// Layers of `wanted` that `held` does not have.
-std::uint32_t missing(layer_range wanted, layer_range held)
+bool holds(layer_range layers, std::uint32_t layer)
 {
-    const auto begin = std::max(wanted.m_begin, held.m_begin);
-    const auto end = std::min(wanted.m_end, held.m_end);
-    const std::uint32_t shared = begin < end ? end - begin : 0;
-    return size(wanted) - shared;
+    return layers.m_begin <= layer && layer < layers.m_end;
 }
 
-bool by_begin(const placement_member& left, const placement_member& right)
+bool faster(const placement_member& left, const placement_member& right)
 {
-    return left.m_layers < right.m_layers;
+    if (left.m_step_factor != right.m_step_factor)
+        return left.m_step_factor < right.m_step_factor;
+    if (left.m_memory_mb != right.m_memory_mb)
+        return left.m_memory_mb > right.m_memory_mb;
+    return left.m_endpoint < right.m_endpoint;
 }
 
 /// The first range of layers that no holder has; empty when all have one.
 layer_range first_gap(std::vector<placement_member> holders, std::uint32_t layers)
 {
-    std::sort(holders.begin(), holders.end(), by_begin);
+    std::sort(
+        holders.begin(), holders.end(),
+        [](const auto& left, const auto& right) { return left.m_layers < right.m_layers; });
     std::uint32_t covered = 0;
     for (const auto& holder : holders)
     {
@@ -92,80 +103,190 @@
     return free_mb * 1e6 / (bytes_per_layer * layers);
 }
 
-std::uint32_t layer_placement::most_layers(const placement_member& member) const
+std::uint32_t layer_placement::most_layers(const placement_member& member, double requests) const
 {
-    if (m_engine.m_layer_mb <= 0)
-        return m_engine.m_layers;
-    // An endpoint without memory for one usual request would be of no use in a path.
     const double usual = m_engine.m_usual_prompt + m_engine.m_usual_answer;
-    std::uint32_t layers = static_cast<std::uint32_t>(member.m_memory_mb / m_engine.m_layer_mb);
-    layers = std::min(layers, m_engine.m_layers);
-    while (layers > 0 && room(member, layers) < usual)
+    std::uint32_t layers = m_engine.m_layers;
+    while (layers > 0 && (layers * m_engine.m_layer_mb > member.m_memory_mb ||
+                          room(member, layers) < usual * requests))
         --layers;
     return layers;
 }
 
-layer_assignment layer_placement::divide(const chain& order) const
+/// Layers of each member of one copy, with equal room; empty when it does not fit.
+std::vector<std::uint32_t> layer_placement::divide_copy(const chain& members) const
 {
-    std::vector<std::uint32_t> counts(order.size(), 0);
+    std::vector<std::uint32_t> counts(members.size(), 0);
+    std::vector<std::uint32_t> most;
+    for (const auto& member : members)
+        most.push_back(most_layers(member, fewest_requests));
     for (std::uint32_t layer = 0; layer < m_engine.m_layers; ++layer)
     {
-        std::size_t best = order.size();
-        for (std::size_t i = 0; i < order.size(); ++i)
+        std::size_t best = members.size();
+        for (std::size_t i = 0; i < members.size(); ++i)
         {
-            if (counts[i] >= most_layers(order[i]))
-                continue;
-            if (best == order.size() ||
-                room(order[i], counts[i] + 1) > room(order[best], counts[best] + 1))
+            if (counts[i] < most[i] &&
+                (best == members.size() ||
+                 room(members[i], counts[i] + 1) > room(members[best], counts[best] + 1)))
                 best = i;
         }
-        if (best == order.size())
+        if (best == members.size())
             return {};
         ++counts[best];
     }
+    return counts;
+}
+
+/// Requests that a copy over `members` completes a second when it is full; 0 when it does not fit.
+double layer_placement::requests_per_second(const chain& members) const
+{
+    const auto counts = divide_copy(members);
+    if (counts.empty())
+        return 0;
+    const double usual = m_engine.m_usual_prompt + m_engine.m_usual_answer;
+    double requests = m_engine.m_batch_places;
+    double factor = 0;
+    double hops = 0;
+    for (std::size_t i = 0; i < members.size(); ++i)
+    {
+        if (counts[i] == 0)
+            continue;
+        requests = std::min(requests, room(members[i], counts[i]) / std::max(usual, 1.0));
+        factor += members[i].m_step_factor * counts[i] / m_engine.m_layers;
+        ++hops;
+    }
+    const double token_ms =
+        factor * (m_engine.m_step_ms + requests * m_engine.m_step_per_request_ms) + hops * hop_ms;
+    return requests * 1e3 / (std::max<double>(m_engine.m_usual_answer, 1) * token_ms);
+}
+
+layer_assignment layer_placement::divide_domain(chain members) const
+{
+    std::sort(members.begin(), members.end(), faster);
+    // m_best[i] is the most that members i to the end complete; copies are runs in order of speed.
+    const std::size_t count = members.size();
+    std::vector<double> best(count + 1, 0);
+    std::vector<std::size_t> end_of_copy(count + 1, count);
+    for (std::size_t begin = count; begin-- > 0;)
+    {
+        for (std::size_t end = begin + 1; end <= count; ++end)
+        {
+            const auto first = members.begin();
+            const chain copy(
+                first + static_cast<std::ptrdiff_t>(begin),
+                first + static_cast<std::ptrdiff_t>(end));
+            const double rate = requests_per_second(copy);
+            if (rate > 0 && rate + best[end] > best[begin])
+            {
+                best[begin] = rate + best[end];
+                end_of_copy[begin] = end;
+            }
+        }
+    }
+    if (count == 0 || best[0] == 0)
+        return {};
     layer_assignment assignment;
-    std::uint32_t begin = 0;
-    for (std::size_t i = 0; i < order.size(); ++i)
+    chain holders;
+    std::size_t begin = 0;
+    for (; begin < count && best[begin] > 0; begin = end_of_copy[begin])
     {
-        if (counts[i] > 0)
-            assignment[order[i].m_endpoint] = {begin, begin + counts[i]};
-        begin += counts[i];
+        const auto first = members.begin();
+        const auto copy = alternate_sizes(
+            {first + static_cast<std::ptrdiff_t>(begin),
+             first + static_cast<std::ptrdiff_t>(end_of_copy[begin])});
+        const auto counts = divide_copy(copy);
+        std::uint32_t layer = 0;
+        for (std::size_t i = 0; i < copy.size(); ++i)
+        {
+            if (counts[i] > 0)
+            {
+                assignment[copy[i].m_endpoint] = {layer, layer + counts[i]};
+                holders.push_back(copy[i]);
+                holders.back().m_layers = {layer, layer + counts[i]};
+            }
+            layer += counts[i];
+        }
+    }
+    for (; begin < count; ++begin)
+    {
+        auto spare = members[begin];
+        spare.m_layers = weakest_window(holders, most_layers(spare, spare_requests));
+        if (empty(spare.m_layers))
+            continue;
+        assignment[spare.m_endpoint] = spare.m_layers;
+        holders.push_back(spare);
     }
     return assignment;
 }
 
+std::map<std::string, std::uint32_t> layer_placement::usual_sizes(const chain& members) const
+{
+    std::map<std::string, std::uint32_t> sizes;
+    for (const auto& [endpoint, layers] : divide_domain(members))
+        sizes[endpoint] = size(layers);
+    return sizes;
+}
+
+/// The run of `layers` layers that the fewest endpoints hold; of equal ones that for which these
+/// have the least room, weighed by their speed.
+layer_range layer_placement::weakest_window(const chain& holders, std::uint32_t layers) const
+{
+    if (layers == 0)
+        return {};
+    std::vector<double> strength(m_engine.m_layers, 0);
+    for (const auto& holder : holders)
+    {
+        const double strong_room = std::max(room(holder, size(holder.m_layers)), 0.0) /
+                                   std::max(holder.m_step_factor, 0.01);
+        const double value = 1 + strong_room / (strong_room + 1e9);
+        for (std::uint32_t layer = holder.m_layers.m_begin;
+             layer < std::min(holder.m_layers.m_end, m_engine.m_layers); ++layer)
+            strength[layer] += value;
+    }
+    layers = std::min(layers, m_engine.m_layers);
+    double lowest = std::numeric_limits<double>::infinity();
+    std::uint32_t chosen = 0;
+    for (std::uint32_t begin = 0; begin + layers <= m_engine.m_layers; ++begin)
+    {
+        double sum = 0;
+        for (std::uint32_t layer = begin; layer < begin + layers; ++layer)
+            sum += strength[layer];
+        if (sum < lowest)
+        {
+            lowest = sum;
+            chosen = begin;
+        }
+    }
+    return {chosen, chosen + layers};
+}
+
 bool layer_placement::extend_neighbours(chain& holders, layer_range gap) const
 {
     chain changed = holders;
-    placement_member* left = nullptr;
-    placement_member* right = nullptr;
     while (!empty(gap))
     {
-        left = nullptr;
-        right = nullptr;
+        placement_member* best = nullptr;
+        double best_room = 0;
         for (auto& holder : changed)
         {
-            if (holder.m_layers.m_end == gap.m_begin &&
-                (left == nullptr || holder.m_memory_mb > left->m_memory_mb))
-                left = &holder;
-            if (holder.m_layers.m_begin == gap.m_end &&
-                (right == nullptr || holder.m_memory_mb > right->m_memory_mb))
-                right = &holder;
+            const bool neighbour =
+                holder.m_layers.m_end == gap.m_begin || holder.m_layers.m_begin == gap.m_end;
+            const auto layers = size(holder.m_layers) + 1;
+            if (!neighbour || layers > most_layers(holder, fewest_requests))
+                continue;
+            const double left = room(holder, layers);
+            if (best == nullptr || left > best_room)
+            {
+                best = &holder;
+                best_room = left;
+            }
         }
-        const auto room_with_one_more = [&](const placement_member* holder)
-        {
-            if (holder == nullptr || size(holder->m_layers) >= most_layers(*holder))
-                return -1.0;
-            return room(*holder, size(holder->m_layers) + 1);
-        };
-        const double left_room = room_with_one_more(left);
-        const double right_room = room_with_one_more(right);
-        if (left_room < 0 && right_room < 0)
+        if (best == nullptr)
             return false;
-        if (left_room >= right_room)
-            gap.m_begin = ++left->m_layers.m_end;
+        if (best->m_layers.m_end == gap.m_begin)
+            gap.m_begin = ++best->m_layers.m_end;
         else
-            gap.m_end = --right->m_layers.m_begin;
+            gap.m_end = --best->m_layers.m_begin;
     }
     holders = std::move(changed);
     return true;
@@ -186,7 +307,7 @@
                 return false;
             continue;
         }
-        const auto take = std::min(size(gap), most_layers(*best));
+        const auto take = std::min(size(gap), most_layers(*best, fewest_requests));
         if (take > 0)
         {
             best->m_layers = {gap.m_begin, gap.m_begin + take};
@@ -197,68 +318,34 @@
     return true;
 }
 
-void layer_placement::insert_idle(chain& holders, const placement_member& member) const
+/// Lets endpoints that hold more than usual give up layers at their ends that others have loaded.
+void layer_placement::shrink_overlaps(
+    chain& holders, const std::map<std::string, std::uint32_t>& sizes) const
 {
-    std::sort(holders.begin(), holders.end(), by_begin);
-    std::uint32_t fewest = std::numeric_limits<std::uint32_t>::max();
-    layer_range chosen;
-    for (std::size_t position = 0; position <= holders.size(); ++position)
+    const auto held_elsewhere = [&](const placement_member& holder, std::uint32_t layer)
     {
-        chain order = holders;
-        order.insert(order.begin() + static_cast<std::ptrdiff_t>(position), member);
-        const auto divided = divide(order);
-        const auto part = divided.find(member.m_endpoint);
-        if (part == divided.end())
-            continue;
-        std::uint32_t loads = 0;
-        for (const auto& holder : holders)
-        {
-            const auto other = divided.find(holder.m_endpoint);
-            if (other != divided.end())
-                loads += missing(other->second, holder.m_layers);
-        }
-        if (loads < fewest)
-        {
-            fewest = loads;
-            chosen = part->second;
-        }
-    }
-    if (empty(chosen))
-        return;
-    placement_member added = member;
-    added.m_layers = chosen;
-    holders.push_back(added);
-}
-
-void layer_placement::shrink_overlaps(chain& holders) const
-{
-    std::sort(holders.begin(), holders.end(), by_begin);
-    chain order = holders;
-    const auto divided = divide(order);
+        return std::any_of(
+            holders.begin(), holders.end(),
+            [&](const placement_member& other)
+            {
+                return other.m_endpoint != holder.m_endpoint && holds(other.m_layers, layer) &&
+                       holds(other.m_loaded, layer) && other.m_step_factor <= holder.m_step_factor;
+            });
+    };
     for (auto& holder : holders)
     {
-        const auto ideal = divided.find(holder.m_endpoint);
-        if (ideal == divided.end())
+        const auto usual = sizes.find(holder.m_endpoint);
+        if (usual == sizes.end() || holder.m_layers != holder.m_loaded)
             continue;
-        // Only gives up layers: those of the ideal part that it does not hold are not loaded.
-        const layer_range kept{
-            std::max(ideal->second.m_begin, holder.m_layers.m_begin),
-            std::min(ideal->second.m_end, holder.m_layers.m_end)};
-        if (empty(kept) || kept == holder.m_layers)
-            continue;
-        const layer_range before = holder.m_layers;
-        holder.m_layers = kept;
-        // What is given up has to be loaded elsewhere already.
-        chain loaded = holders;
-        for (auto& other : loaded)
+        while (size(holder.m_layers) > usual->second)
         {
-            other.m_layers = {
-                std::max(other.m_layers.m_begin, other.m_loaded.m_begin),
-                std::min(other.m_layers.m_end, other.m_loaded.m_end)};
+            if (held_elsewhere(holder, holder.m_layers.m_begin))
+                ++holder.m_layers.m_begin;
+            else if (held_elsewhere(holder, holder.m_layers.m_end - 1))
+                --holder.m_layers.m_end;
+            else
+                break;
         }
-        std::erase_if(loaded, [](const auto& other) { return empty(other.m_layers); });
-        if (!empty(first_gap(loaded, m_engine.m_layers)))
-            holder.m_layers = before;
     }
 }
 
@@ -267,22 +354,20 @@
     chain holders;
     chain idle;
     for (const auto& member : members)
-    {
-        if (most_layers(member) == 0)
-            continue;
         (empty(member.m_layers) ? idle : holders).push_back(member);
-    }
-    if (holders.empty())
-        return divide(alternate_sizes(idle));
-    if (!close_gaps(holders, idle))
+    if (holders.empty() || !close_gaps(holders, idle))
+        return divide_domain(members);
+    const auto sizes = usual_sizes(members);
+    std::sort(idle.begin(), idle.end(), faster);
+    for (auto member : idle)
     {
-        chain order = holders;
-        std::sort(order.begin(), order.end(), by_begin);
-        return divide(order);
+        const auto usual = sizes.find(member.m_endpoint);
+        if (usual == sizes.end())
+            continue;
+        member.m_layers = weakest_window(holders, usual->second);
+        holders.push_back(std::move(member));
     }
-    for (const auto& member : idle)
-        insert_idle(holders, member);
-    shrink_overlaps(holders);
+    shrink_overlaps(holders, sizes);
     layer_assignment assignment;
     for (const auto& holder : holders)
         assignment[holder.m_endpoint] = holder.m_layers;
--- a/src/lease_holder.cpp
+++ b/src/lease_holder.cpp
@@ -13,11 +13,11 @@
     return m_holding && now < m_held_until;
 }
 
-lease_action lease_holder::start_read(time_point now)
+lease_action lease_holder::start_read(time_point now, bool stale_allowed)
 {
     m_pending = operation::read;
     m_next_read = now + m_settings.m_poll;
-    return read_lease{};
+    return read_lease{stale_allowed};
 }
 
 lease_action lease_holder::start_write(const lease& value, std::uint64_t version, time_point now)
@@ -63,7 +63,7 @@
     }
     if (now < m_next_read)
         return std::nullopt;
-    return start_read(now);
+    return start_read(now, !m_unsettled && !m_holding);
 }
 
 std::optional<lease_action>
--- a/src/path_finder.cpp
+++ b/src/path_finder.cpp
@@ -51,7 +51,7 @@
             m_boundaries.size(), std::vector<partial_path>(candidates.size(), partial_path{}));
     }
 
-    std::vector<path_hop> run()
+    found_path run()
     {
         for (std::size_t from = 0; from + 1 < m_boundaries.size(); ++from)
             extend(from);
@@ -138,7 +138,7 @@
         return cheapest;
     }
 
-    std::vector<path_hop> trace() const
+    found_path trace() const
     {
         std::size_t boundary = m_boundaries.size() - 1;
         std::size_t last = 0;
@@ -147,21 +147,22 @@
             if (m_best[boundary][i].m_cost < m_best[boundary][last].m_cost)
                 last = i;
         }
-        std::vector<path_hop> path;
+        found_path path;
         if (m_candidates.empty() || !m_best[boundary][last].reached())
             return path;
+        path.m_cost = m_best[boundary][last].m_cost;
         while (boundary > 0)
         {
             const auto& part = m_best[boundary][last];
             const auto& candidate = m_candidates[last];
-            path.push_back(
+            path.m_hops.push_back(
                 {candidate.m_endpoint,
                  candidate.m_address,
                  {m_boundaries[part.m_from], m_boundaries[boundary]}});
             boundary = part.m_from;
             last = part.m_previous;
         }
-        std::reverse(path.begin(), path.end());
+        std::reverse(path.m_hops.begin(), path.m_hops.end());
         return path;
     }
 
@@ -173,8 +174,7 @@
 
 } // namespace
 
-std::vector<path_hop>
-find_path(const std::vector<path_candidate>& candidates, const path_query& query)
+found_path find_path(const std::vector<path_candidate>& candidates, const path_query& query)
 {
     return search(candidates, query).run();
 }
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -4,7 +4,6 @@
 #include <fulmaryard/path_finder.hpp>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace fulmaryard
@@ -17,6 +16,10 @@
 // endpoint without memory interrupts a running request.
 constexpr double planned_memory_share = 0.92;
 
+// A path in another failure domain has to be faster by this, milliseconds a token, since answers
+// then cross between domains, which costs bandwidth.
+constexpr double foreign_domain_ms = 6;
+
 // An endpoint that refused gets no new request for this long: the lag of its report.
 constexpr std::chrono::milliseconds refusal_pause{200};
 
@@ -163,25 +166,25 @@
     path_query query;
     query.m_layers = service.m_engine->m_layers;
     query.m_tokens = tokens;
-    std::map<std::string, double> room_of_domain;
+    std::set<std::string> domains;
     for (const auto& candidate : all)
-        room_of_domain[candidate.m_failure_domain] += candidate.m_free_memory;
-    std::vector<std::pair<double, std::string>> domains;
-    for (const auto& [domain, room] : room_of_domain)
-    {
-        const bool own = domain == m_settings.m_failure_domain;
-        domains.emplace_back(own ? -std::numeric_limits<double>::infinity() : -room, domain);
-    }
-    std::sort(domains.begin(), domains.end());
-    for (const auto& [room, domain] : domains)
+        domains.insert(candidate.m_failure_domain);
+    found_path best;
+    for (const auto& domain : domains)
     {
         query.m_domain = domain;
         auto path = fulmaryard::find_path(all, query);
-        if (!path.empty())
-            return path;
+        if (domain != m_settings.m_failure_domain)
+            path.m_cost += foreign_domain_ms;
+        if (!path.m_hops.empty() && (best.m_hops.empty() || path.m_cost < best.m_cost))
+            best = std::move(path);
+    }
+    if (best.m_hops.empty())
+    {
+        query.m_domain.clear();
+        best = fulmaryard::find_path(all, query);
     }
-    query.m_domain.clear();
-    return fulmaryard::find_path(all, query);
+    return best.m_hops;
 }
 
 std::vector<path_hop> router_core::find_path_behind(
@@ -194,11 +197,11 @@
     query.m_tokens = tokens;
     const auto* record = find_endpoint(first.m_endpoint);
     query.m_domain = record == nullptr ? "" : record->m_failure_domain;
-    auto rest = fulmaryard::find_path(all, query);
+    auto rest = fulmaryard::find_path(all, query).m_hops;
     if (rest.empty())
     {
         query.m_domain.clear();
-        rest = fulmaryard::find_path(all, query);
+        rest = fulmaryard::find_path(all, query).m_hops;
     }
     if (!rest.empty())
         rest.insert(rest.begin(), first);
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -53,6 +53,9 @@
 // When a router that does not know its configuration yet expects to.
 constexpr std::chrono::milliseconds configuration_return{500};
 
+// A caller that a router which ends refuses finds another router at once.
+constexpr std::chrono::milliseconds shortest_return{50};
+
 constexpr std::chrono::milliseconds probe_deadline{300};
 
 constexpr std::size_t max_header_bytes = 64 * 1024;
@@ -223,6 +226,17 @@
         const auto table = m_core.m_table;
         unsigned refused = 0;
         std::string reason;
+        if (m_stops_taking)
+        {
+            // It might not be answered before the process ends.
+            log_event(log_level::info, "request_rejected")
+                .with("request", call->m_id)
+                .with("status", 503)
+                .with("reason", "the router ends");
+            auto response = m_core.m_protocol.refusal(*call, 503, shortest_return);
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
         const service_route* route = nullptr;
         const routing_account* account = nullptr;
         if (table == nullptr)
@@ -376,12 +390,16 @@
         asio::steady_timer timer(m_io);
         while (steady::now() < last)
         {
-            if (steady::now() >= start + shortest_drain && m_callers.active_exchanges() == 0)
+            if (!m_stops_taking && steady::now() >= start + shortest_drain)
+            {
+                m_stops_taking = true;
+                m_callers.stop_accepting();
+            }
+            if (m_stops_taking && m_callers.active_exchanges() == 0)
                 break;
             timer.expires_after(tick_interval);
             co_await timer.async_wait(use_tuple);
         }
-        m_callers.stop_accepting();
         m_lifecycle.finish_drain();
         m_stopped = true;
         m_io.stop();
@@ -400,6 +418,7 @@
     http_server m_inspection;
     asio::signal_set m_signals;
     asio::steady_timer m_tick;
+    bool m_stops_taking{false}; ///< New requests are refused; the process ends soon.
     bool m_stopped{false};
 };
 
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -285,6 +285,7 @@
     m_sent = steady::now();
     m_last_progress = m_sent;
     const auto first = m_path.front().m_endpoint;
+    m_last_first = first;
     call_target target;
     target.m_endpoint = first;
     target.m_address = m_path.front().m_address;
@@ -483,6 +484,8 @@
         .with("reason", reason)
         .with("events", m_events)
         .with("attempts", m_tries)
+        .with("first", m_last_first)
+        .with("tokens", m_tokens)
         .with(
             "after_ms",
             std::chrono::duration_cast<std::chrono::milliseconds>(now - m_accepted.m_arrival)
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -86,7 +86,8 @@
     double m_tokens{0};
     std::vector<path_hop> m_path;
     std::set<std::string>
-        m_avoided; ///< First endpoints that this stream will not be sent to again.
+        m_avoided;            ///< First endpoints that this stream will not be sent to again.
+    std::string m_last_first; ///< First endpoint of the last attempt.
     std::unique_ptr<endpoint_channel> m_channel;
     boost::asio::steady_timer m_turn;
     time_point m_last_progress;
