--- a/include/fulmaryard/layer_placement.hpp
+++ b/include/fulmaryard/layer_placement.hpp
@@ -1,8 +1,8 @@
 #ifndef FULMARYARD_LAYER_PLACEMENT_HPP
 #define FULMARYARD_LAYER_PLACEMENT_HPP
 
-#include <fulmaryard/layer_range.hpp>
 #include <fulmaryard/pipeline_engine.hpp>
+#include <fulmaryard/placed_layers.hpp>
 #include <fulmaryard/placement_member.hpp>
 
 #include <cstdint>
@@ -13,8 +13,8 @@
 namespace fulmaryard
 {
 
-/// Ranges by endpoint id; endpoints that hold nothing are left out.
-using layer_assignment = std::map<std::string, layer_range>;
+/// Layers by endpoint id; endpoints that hold nothing are left out.
+using layer_assignment = std::map<std::string, placed_layers>;
 
 /// Decides which layers the endpoints of one failure domain hold.
 ///
@@ -48,8 +48,7 @@
     bool close_gaps(chain& holders, chain& idle) const;
     bool extend_neighbours(chain& holders, layer_range gap) const;
     layer_range weakest_window(const chain& holders, std::uint32_t layers) const;
-    void shrink_overlaps(chain& holders, const std::map<std::string, std::uint32_t>& sizes) const;
-    std::map<std::string, std::uint32_t> usual_sizes(const chain& members) const;
+    void shrink_overlaps(chain& holders) const;
     std::uint32_t most_layers(const placement_member& member, double requests) const;
 
     pipeline_engine m_engine;
--- a/include/fulmaryard/layer_plan.hpp
+++ b/include/fulmaryard/layer_plan.hpp
@@ -1,7 +1,7 @@
 #ifndef FULMARYARD_LAYER_PLAN_HPP
 #define FULMARYARD_LAYER_PLAN_HPP
 
-#include <fulmaryard/layer_range.hpp>
+#include <fulmaryard/placed_layers.hpp>
 
 #include <absl/status/statusor.h>
 
@@ -21,7 +21,7 @@
 struct planned_layers
 {
     std::uint64_t m_started_ms{0}; ///< Names the run; a later run holds nothing.
-    layer_range m_layers;
+    placed_layers m_placed;
 
     friend auto operator<=>(const planned_layers&, const planned_layers&) = default;
 };
--- a/include/fulmaryard/lease_holder.hpp
+++ b/include/fulmaryard/lease_holder.hpp
@@ -44,6 +44,7 @@
     /// 10 s allows 10%, far more than quartz clocks differ.
     std::chrono::milliseconds m_margin{1'000};
     std::chrono::milliseconds m_poll{1'000}; ///< Between reads while another process holds it.
+    bool m_stale_polls{false}; ///< Whether these reads may be a little old, where that costs less.
 };
 
 /// Candidate for, or holder of, the lease on orders to engines. Does no I/O: returns what to do on
--- a/src/layer_controller.cpp
+++ b/src/layer_controller.cpp
@@ -61,7 +61,8 @@
 layer_controller::layer_controller(router_core& core, object_store& store, std::string process)
     : m_core(core),
       m_store(store),
-      m_lease(lease_holder_settings{std::move(process), lease_duration, lease_margin, lease_poll})
+      m_lease(
+          lease_holder_settings{std::move(process), lease_duration, lease_margin, lease_poll, true})
 {
 }
 
@@ -189,9 +190,15 @@
             const auto planned = m_plan.m_endpoints.find(id);
             const bool ordered = planned != m_plan.m_endpoints.end() &&
                                  planned->second.m_started_ms == record.m_started_ms;
-            domains[record.m_failure_domain].push_back(
-                {id, record.m_failure_domain, kind->m_memory_mb, kind->m_step_factor,
-                 ordered ? planned->second.m_layers : loaded, loaded});
+            placement_member member;
+            member.m_endpoint = id;
+            member.m_failure_domain = record.m_failure_domain;
+            member.m_memory_mb = kind->m_memory_mb;
+            member.m_step_factor = kind->m_step_factor;
+            member.m_layers = ordered ? planned->second.m_placed.m_layers : loaded;
+            member.m_usual = ordered ? planned->second.m_placed.m_usual : 0;
+            member.m_loaded = loaded;
+            domains[record.m_failure_domain].push_back(std::move(member));
         }
         for (const auto& [domain, members] : domains)
         {
@@ -212,7 +219,7 @@
     {
         const auto* record = m_core.find_endpoint(id);
         if (record != nullptr && record->m_started_ms == planned.m_started_ms &&
-            m_core.usable(*record) && m_core.layers_of(*record) != planned.m_layers)
+            m_core.usable(*record) && m_core.layers_of(*record) != planned.m_placed.m_layers)
             start_order(id);
     }
 }
@@ -225,15 +232,18 @@
     for (const auto& member : members)
     {
         const auto wanted = assignment.find(member.m_endpoint);
-        if (wanted == assignment.end() || wanted->second == member.m_layers)
+        if (wanted == assignment.end())
+            continue;
+        const auto layers = wanted->second.m_layers;
+        m_plan.m_endpoints[member.m_endpoint] = {
+            m_core.find_endpoint(member.m_endpoint)->m_started_ms, wanted->second};
+        if (layers == member.m_layers)
             continue;
         log_event(log_level::info, "layers_planned")
             .with("endpoint", member.m_endpoint)
             .with("domain", member.m_failure_domain)
             .with("from", fmt::format("{}-{}", member.m_layers.m_begin, member.m_layers.m_end))
-            .with("to", fmt::format("{}-{}", wanted->second.m_begin, wanted->second.m_end));
-        m_plan.m_endpoints[member.m_endpoint] = {
-            m_core.find_endpoint(member.m_endpoint)->m_started_ms, wanted->second};
+            .with("to", fmt::format("{}-{}", layers.m_begin, layers.m_end));
         changed.push_back(member.m_endpoint);
     }
 }
@@ -279,7 +289,7 @@
         if (record == nullptr || planned == m_plan.m_endpoints.end() ||
             planned->second.m_started_ms != record->m_started_ms)
             break;
-        const auto wanted = planned->second.m_layers;
+        const auto wanted = planned->second.m_placed.m_layers;
         const auto address = record->m_address;
         http_request query = m_core.m_protocol.write_load_query();
         const auto response =
--- a/src/layer_placement.cpp
+++ b/src/layer_placement.cpp
@@ -200,7 +200,7 @@
         {
             if (counts[i] > 0)
             {
-                assignment[copy[i].m_endpoint] = {layer, layer + counts[i]};
+                assignment[copy[i].m_endpoint] = {{layer, layer + counts[i]}, counts[i]};
                 holders.push_back(copy[i]);
                 holders.back().m_layers = {layer, layer + counts[i]};
             }
@@ -213,20 +213,12 @@
         spare.m_layers = weakest_window(holders, most_layers(spare, spare_requests));
         if (empty(spare.m_layers))
             continue;
-        assignment[spare.m_endpoint] = spare.m_layers;
+        assignment[spare.m_endpoint] = {spare.m_layers, size(spare.m_layers)};
         holders.push_back(spare);
     }
     return assignment;
 }
 
-std::map<std::string, std::uint32_t> layer_placement::usual_sizes(const chain& members) const
-{
-    std::map<std::string, std::uint32_t> sizes;
-    for (const auto& [endpoint, layers] : divide_domain(members))
-        sizes[endpoint] = size(layers);
-    return sizes;
-}
-
 /// The run of `layers` layers that the fewest endpoints hold; of equal ones that for which these
 /// have the least room, weighed by their speed.
 layer_range layer_placement::weakest_window(const chain& holders, std::uint32_t layers) const
@@ -319,8 +311,7 @@
 }
 
 /// Lets endpoints that hold more than usual give up layers at their ends that others have loaded.
-void layer_placement::shrink_overlaps(
-    chain& holders, const std::map<std::string, std::uint32_t>& sizes) const
+void layer_placement::shrink_overlaps(chain& holders) const
 {
     const auto held_elsewhere = [&](const placement_member& holder, std::uint32_t layer)
     {
@@ -329,15 +320,14 @@
             [&](const placement_member& other)
             {
                 return other.m_endpoint != holder.m_endpoint && holds(other.m_layers, layer) &&
-                       holds(other.m_loaded, layer) && other.m_step_factor <= holder.m_step_factor;
+                       holds(other.m_loaded, layer);
             });
     };
     for (auto& holder : holders)
     {
-        const auto usual = sizes.find(holder.m_endpoint);
-        if (usual == sizes.end() || holder.m_layers != holder.m_loaded)
+        if (holder.m_usual == 0 || holder.m_layers != holder.m_loaded)
             continue;
-        while (size(holder.m_layers) > usual->second)
+        while (size(holder.m_layers) > holder.m_usual)
         {
             if (held_elsewhere(holder, holder.m_layers.m_begin))
                 ++holder.m_layers.m_begin;
@@ -357,20 +347,27 @@
         (empty(member.m_layers) ? idle : holders).push_back(member);
     if (holders.empty() || !close_gaps(holders, idle))
         return divide_domain(members);
-    const auto sizes = usual_sizes(members);
-    std::sort(idle.begin(), idle.end(), faster);
-    for (auto member : idle)
+    if (!idle.empty())
     {
-        const auto usual = sizes.find(member.m_endpoint);
-        if (usual == sizes.end())
-            continue;
-        member.m_layers = weakest_window(holders, usual->second);
-        holders.push_back(std::move(member));
+        const auto usual = divide_domain(members);
+        std::sort(idle.begin(), idle.end(), faster);
+        for (auto member : idle)
+        {
+            const auto placed = usual.find(member.m_endpoint);
+            if (placed == usual.end())
+                continue;
+            member.m_usual = placed->second.m_usual;
+            member.m_layers = weakest_window(holders, member.m_usual);
+            holders.push_back(std::move(member));
+        }
     }
-    shrink_overlaps(holders, sizes);
+    shrink_overlaps(holders);
     layer_assignment assignment;
     for (const auto& holder : holders)
-        assignment[holder.m_endpoint] = holder.m_layers;
+    {
+        const auto usual = holder.m_usual == 0 ? size(holder.m_layers) : holder.m_usual;
+        assignment[holder.m_endpoint] = {holder.m_layers, usual};
+    }
     return assignment;
 }
 
--- a/src/layer_plan.cpp
+++ b/src/layer_plan.cpp
@@ -18,8 +18,8 @@
     json::object endpoints;
     for (const auto& [id, planned] : plan.m_endpoints)
     {
-        endpoints[id] =
-            json::array{planned.m_started_ms, planned.m_layers.m_begin, planned.m_layers.m_end};
+        const auto& [layers, usual] = planned.m_placed;
+        endpoints[id] = json::array{planned.m_started_ms, layers.m_begin, layers.m_end, usual};
     }
     return json::serialize(
         json::object{{"epoch", plan.m_epoch}, {"endpoints", std::move(endpoints)}});
@@ -37,8 +37,9 @@
             const auto& numbers = item.as_array();
             plan.m_endpoints[std::string(id)] = {
                 numbers.at(0).to_number<std::uint64_t>(),
-                {numbers.at(1).to_number<std::uint32_t>(),
-                 numbers.at(2).to_number<std::uint32_t>()}};
+                {{numbers.at(1).to_number<std::uint32_t>(),
+                  numbers.at(2).to_number<std::uint32_t>()},
+                 numbers.at(3).to_number<std::uint32_t>()}};
         }
         return plan;
     }
--- a/src/lease_holder.cpp
+++ b/src/lease_holder.cpp
@@ -63,7 +63,7 @@
     }
     if (now < m_next_read)
         return std::nullopt;
-    return start_read(now, !m_unsettled && !m_holding);
+    return start_read(now, m_settings.m_stale_polls && !m_unsettled);
 }
 
 std::optional<lease_action>
--- a/tests/process/overload_test.cpp
+++ b/tests/process/overload_test.cpp
@@ -187,8 +187,8 @@
     const std::vector<std::string> entries{system.address("entry-1"), system.address("entry-2")};
     constexpr std::chrono::seconds length{4};
 
-    // 140 senders at 10 a second each.
-    load large(entries, "large", 140, std::chrono::milliseconds(100), length);
+    // 220 senders at 10 a second each; senders that wait for an answer fall behind.
+    load large(entries, "large", 220, std::chrono::milliseconds(100), length);
     load small_1(entries, "small-1", 2, std::chrono::milliseconds(200), length);
     load small_2(entries, "small-2", 2, std::chrono::milliseconds(200), length);
     const tally small[] = {small_1.finish(), small_2.finish()};
--- /dev/null
+++ b/tests/unit/channel_pool_test.cpp
@@ -0,0 +1,142 @@
+#include "use_tuple_inl.hpp"
+
+#include <fulmaryard/channel_pool.hpp>
+#include <fulmaryard/endpoint_call.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <fmt/format.h>
+
+using namespace fulmaryard;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Answers each request on one connection with the same text, and counts connections.
+struct endpoint
+{
+    explicit endpoint(asio::io_context& io, std::string answer)
+        : m_acceptor(io, {asio::ip::address_v4::loopback(), 0}),
+          m_answer(std::move(answer))
+    {
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+
+    std::string address() const
+    {
+        return fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port());
+    }
+
+    asio::awaitable<void> accept()
+    {
+        for (;;)
+        {
+            auto [error, socket] = co_await m_acceptor.async_accept(use_tuple);
+            if (error)
+                co_return;
+            ++m_connections;
+            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        std::string received;
+        for (;;)
+        {
+            const auto [error, size] = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(received), "\r\n\r\n", use_tuple);
+            if (error)
+                co_return;
+            received.erase(0, size);
+            co_await asio::async_write(socket, asio::buffer(m_answer), use_tuple);
+        }
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    std::string m_answer;
+    int m_connections{0};
+};
+
+bool call(asio::io_context& io, channel_pool& channels, const std::string& address)
+{
+    bool answered = false;
+    const auto task = [&]() -> asio::awaitable<void>
+    {
+        http_request request{"GET", "/", {}, {}};
+        const auto response = co_await call_endpoint(channels, address, std::move(request), 2s);
+        answered = response.ok() && response->m_body == "ok";
+    };
+    bool done = false;
+    asio::co_spawn(io, task(), [&](const std::exception_ptr&) { done = true; });
+    io.restart();
+    while (!done)
+        io.run_one();
+    return answered;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("unit");
+
+TEST_CASE("kept-alive connections to an endpoint")
+{
+    // Guards against a new connection for each call, and against one that another call's late
+    // answer lies on.
+    asio::io_context io;
+    channel_pool channels(io.get_executor());
+    const auto now = std::chrono::steady_clock::now();
+
+    SUBCASE("carry one call after the other")
+    {
+        endpoint peer(
+            io, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok");
+        CHECK(call(io, channels, peer.address()));
+        CHECK(call(io, channels, peer.address()));
+        CHECK(peer.m_connections == 1);
+        CHECK(channels.idle() == 1);
+
+        SUBCASE("and stay in the pool when the one used last is too old for a call")
+        {
+            CHECK(channels.take(peer.address(), 0ms, now + 1s) == nullptr);
+            channels.on_tick(now);
+            CHECK(channels.idle() == 1);
+            CHECK(channels.take(peer.address(), 10s, now) != nullptr);
+        }
+        SUBCASE("and are closed before their endpoint closes them")
+        {
+            channels.on_tick(now + 5s);
+            CHECK(channels.idle() == 0);
+        }
+    }
+    SUBCASE("are not used again when more was sent than the answer")
+    {
+        endpoint peer(io, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+        CHECK(call(io, channels, peer.address()));
+        CHECK(channels.take(peer.address(), 10s, now) == nullptr);
+    }
+    SUBCASE("end with an answer that says so")
+    {
+        endpoint peer(io, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+        CHECK(call(io, channels, peer.address()));
+        CHECK(channels.idle() == 0);
+    }
+    SUBCASE("are not offered when their endpoint has closed them")
+    {
+        {
+            endpoint peer(io, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            CHECK(call(io, channels, peer.address()));
+        }
+    }
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/unit/layer_placement_test.cpp
@@ -0,0 +1,242 @@
+#include "unit/fixed_seed_property.hpp"
+
+#include <fulmaryard/layer_placement.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <limits>
+
+using namespace fulmaryard;
+
+namespace
+{
+
+pipeline_engine make_engine()
+{
+    pipeline_engine engine;
+    engine.m_layers = 80;
+    engine.m_layer_mb = 1750;
+    engine.m_token_bytes = 918'000;
+    engine.m_batch_places = 192;
+    engine.m_step_ms = 1;
+    engine.m_step_per_request_ms = 0.016;
+    engine.m_usual_prompt = 800;
+    engine.m_usual_answer = 200;
+    return engine;
+}
+
+placement_member make_member(const std::string& name, double memory_mb, double factor)
+{
+    placement_member member;
+    member.m_endpoint = name;
+    member.m_failure_domain = "a";
+    member.m_memory_mb = memory_mb;
+    member.m_step_factor = factor;
+    return member;
+}
+
+/// One large and fast, three medium and eight small and slow endpoints.
+std::vector<placement_member> make_domain()
+{
+    std::vector<placement_member> members{make_member("large", 72'000, 2.4)};
+    for (int i = 0; i < 3; ++i)
+        members.push_back(make_member("medium-" + std::to_string(i), 43'200, 5.6));
+    for (int i = 0; i < 8; ++i)
+        members.push_back(make_member("small-" + std::to_string(i), 21'600, 16));
+    return members;
+}
+
+/// Members after every order of `assignment` has been carried out.
+void carry_out(std::vector<placement_member>& members, const layer_assignment& assignment)
+{
+    for (auto& member : members)
+    {
+        const auto wanted = assignment.find(member.m_endpoint);
+        const auto placed = wanted == assignment.end() ? placed_layers{} : wanted->second;
+        member.m_layers = placed.m_layers;
+        member.m_usual = placed.m_usual;
+        member.m_loaded = member.m_layers;
+    }
+}
+
+int fewest_holders(const std::vector<placement_member>& members)
+{
+    int fewest = std::numeric_limits<int>::max();
+    for (std::uint32_t layer = 0; layer < 80; ++layer)
+    {
+        const auto holders = std::count_if(
+            members.begin(), members.end(),
+            [layer](const auto& member)
+            { return member.m_layers.m_begin <= layer && layer < member.m_layers.m_end; });
+        fewest = std::min(fewest, static_cast<int>(holders));
+    }
+    return fewest;
+}
+
+int changed(const std::vector<placement_member>& members, const layer_assignment& assignment)
+{
+    int count = 0;
+    for (const auto& member : members)
+    {
+        const auto wanted = assignment.find(member.m_endpoint);
+        count += wanted != assignment.end() && wanted->second.m_layers != member.m_layers ? 1 : 0;
+    }
+    return count;
+}
+
+placement_member& find(std::vector<placement_member>& members, const std::string& name)
+{
+    return *std::find_if(
+        members.begin(), members.end(),
+        [&](const auto& member) { return member.m_endpoint == name; });
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("unit");
+
+TEST_CASE("the layers of a failure domain")
+{
+    // Guards against paths through slow endpoints, layers that nobody holds after a loss, orders
+    // that move more than is needed, and orders beyond an endpoint's memory.
+    const layer_placement placement(make_engine());
+    auto members = make_domain();
+    carry_out(members, placement.plan(members));
+
+    SUBCASE("are held by a copy of the fast endpoints and one of the slow ones")
+    {
+        CHECK(fewest_holders(members) == 2);
+        std::uint32_t fast_layers = 0;
+        for (const auto& member : members)
+        {
+            if (member.m_step_factor < 10)
+                fast_layers += member.m_layers.m_end - member.m_layers.m_begin;
+        }
+        CHECK(fast_layers == 80);
+        CHECK(changed(members, placement.plan(members)) == 0);
+
+        SUBCASE("and after the loss of any endpoint there is a way without a load")
+        {
+            for (const auto& lost : members)
+            {
+                auto rest = members;
+                std::erase_if(
+                    rest, [&](const auto& member) { return member.m_endpoint == lost.m_endpoint; });
+                CHECK(fewest_holders(rest) >= 1);
+                CHECK(changed(rest, placement.plan(rest)) == 0);
+            }
+        }
+        SUBCASE("and one that comes back empty takes what it held")
+        {
+            for (const auto* name : {"large", "medium-1", "small-3"})
+            {
+                auto returned = members;
+                auto& member = find(returned, name);
+                const auto held = member.m_layers;
+                member.m_layers = {};
+                member.m_loaded = {};
+                const auto next = placement.plan(returned);
+                CHECK(next.at(name).m_layers == held);
+                CHECK(changed(returned, next) == 1);
+            }
+        }
+    }
+    SUBCASE("that two lost endpoints leave without a holder go to their neighbours")
+    {
+        const auto held = find(members, "medium-1").m_layers;
+        std::erase_if(
+            members,
+            [&](const auto& member)
+            {
+                return member.m_endpoint == "medium-1" ||
+                       (member.m_step_factor > 10 && member.m_layers.m_begin < held.m_end &&
+                        member.m_layers.m_end > held.m_begin + 2);
+            });
+        REQUIRE(fewest_holders(members) == 0);
+        const auto next = placement.plan(members);
+        const int moved = changed(members, next);
+        CHECK(moved >= 1);
+        CHECK(moved <= 2);
+        auto mended = members;
+        carry_out(mended, next);
+        CHECK(fewest_holders(mended) >= 1);
+        for (const auto& member : members)
+        {
+            // Nobody gives up what it holds while a gap is closed.
+            CHECK(next.at(member.m_endpoint).m_layers.m_begin <= member.m_layers.m_begin);
+            CHECK(next.at(member.m_endpoint).m_layers.m_end >= member.m_layers.m_end);
+        }
+
+        SUBCASE("and are given up once a returning endpoint has loaded them")
+        {
+            mended.push_back(make_member("medium-1", 43'200, 5.6));
+            const auto loading = placement.plan(mended);
+            REQUIRE(loading.contains("medium-1"));
+            for (auto& member : mended)
+                member.m_layers = loading.at(member.m_endpoint).m_layers;
+            CHECK(changed(mended, placement.plan(mended)) == 0);
+            carry_out(mended, loading);
+            carry_out(mended, placement.plan(mended));
+            CHECK(fewest_holders(mended) >= 1);
+        }
+    }
+    SUBCASE("are divided anew when no neighbour has the memory")
+    {
+        std::vector<placement_member> few{
+            make_member("large-1", 60'000, 2.4), make_member("large-2", 60'000, 2.4),
+            make_member("large-3", 60'000, 2.4)};
+        carry_out(few, placement.plan(few));
+        REQUIRE(fewest_holders(few) == 1);
+        few.pop_back();
+        // Two cannot hold 80 layers and requests.
+        CHECK(placement.plan(few).empty());
+    }
+}
+
+TEST_CASE("layers after random losses, returns and joins")
+{
+    // Guards against orders beyond memory and against a gap that stays although memory suffices.
+    const auto property = []
+    {
+        const layer_placement placement(make_engine());
+        auto members = make_domain();
+        carry_out(members, placement.plan(members));
+        for (int step = 0; step < 8; ++step)
+        {
+            const auto chosen =
+                static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(members.size())));
+            switch (*rc::gen::inRange(0, 3))
+            {
+            case 0:
+                if (members.size() > 8)
+                    members.erase(members.begin() + static_cast<std::ptrdiff_t>(chosen));
+                break;
+            case 1:
+                members[chosen].m_layers = {};
+                members[chosen].m_loaded = {};
+                break;
+            default:
+                members.push_back(make_member("new-" + std::to_string(step), 21'600, 16));
+            }
+            const auto next = placement.plan(members);
+            for (const auto& member : members)
+            {
+                const auto wanted = next.find(member.m_endpoint);
+                if (wanted == next.end())
+                    continue;
+                const double layers =
+                    wanted->second.m_layers.m_end - wanted->second.m_layers.m_begin;
+                RC_ASSERT(layers * 1750 <= member.m_memory_mb);
+                RC_ASSERT(wanted->second.m_layers.m_end <= 80U);
+            }
+            if (next.empty())
+                return; // What is left cannot hold one copy.
+            carry_out(members, next);
+            RC_ASSERT(fewest_holders(members) >= 1);
+        }
+    };
+    CHECK(holds(property, 200, 12));
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/unit/path_finder_test.cpp
@@ -0,0 +1,163 @@
+#include "unit/fixed_seed_property.hpp"
+
+#include <fulmaryard/path_finder.hpp>
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace fulmaryard;
+
+namespace
+{
+
+path_candidate
+make_candidate(const std::string& name, layer_range layers, const std::string& domain = "a")
+{
+    path_candidate candidate;
+    candidate.m_endpoint = name;
+    candidate.m_address = name + ":1";
+    candidate.m_failure_domain = domain;
+    candidate.m_layers = layers;
+    candidate.m_free_memory = 1e6;
+    candidate.m_places = 10;
+    return candidate;
+}
+
+path_query make_query(const std::string& domain = "a")
+{
+    path_query query;
+    query.m_layers = 80;
+    query.m_tokens = 1000;
+    query.m_domain = domain;
+    return query;
+}
+
+std::vector<std::string> names(const found_path& path)
+{
+    std::vector<std::string> endpoints;
+    for (const auto& hop : path.m_hops)
+        endpoints.push_back(hop.m_endpoint);
+    return endpoints;
+}
+
+bool runs_each_layer_once(const found_path& path, std::uint32_t layers)
+{
+    std::uint32_t next = 0;
+    std::set<std::string> used;
+    for (const auto& hop : path.m_hops)
+    {
+        if (hop.m_layers.m_begin != next || hop.m_layers.m_end <= next ||
+            !used.insert(hop.m_endpoint).second)
+            return false;
+        next = hop.m_layers.m_end;
+    }
+    return next == layers;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("unit");
+
+TEST_CASE("a path over the endpoints of a failure domain")
+{
+    // Guards against layers that run twice or not at all, and against paths without room.
+    std::vector<path_candidate> candidates{
+        make_candidate("first", {0, 30}), make_candidate("second", {30, 60}),
+        make_candidate("third", {60, 80})};
+
+    SUBCASE("goes over one copy in order")
+    {
+        const auto path = find_path(candidates, make_query());
+        CHECK(names(path) == std::vector<std::string>{"first", "second", "third"});
+        CHECK(path.m_hops[1].m_layers == layer_range{30, 60});
+
+        SUBCASE("and is not found when one endpoint is lost")
+        {
+            candidates.erase(candidates.begin() + 1);
+            CHECK(find_path(candidates, make_query()).m_hops.empty());
+
+            SUBCASE("unless others hold parts of its layers")
+            {
+                candidates.push_back(make_candidate("left", {25, 45}));
+                candidates.push_back(make_candidate("right", {40, 65}));
+                const auto around = find_path(candidates, make_query());
+                CHECK(names(around) == std::vector<std::string>{"first", "left", "right", "third"});
+                CHECK(runs_each_layer_once(around, 80));
+            }
+        }
+    }
+    SUBCASE("avoids an endpoint without memory for the request")
+    {
+        candidates[1].m_free_memory = 29 * 1000;
+        CHECK(find_path(candidates, make_query()).m_hops.empty());
+        candidates[1].m_free_memory = 30 * 1000;
+        CHECK(find_path(candidates, make_query()).m_hops.size() == 3);
+    }
+    SUBCASE("does not begin where no place is left")
+    {
+        candidates[0].m_places = 0;
+        CHECK(find_path(candidates, make_query()).m_hops.empty());
+        SUBCASE("but a part behind a running first endpoint needs none")
+        {
+            auto query = make_query();
+            query.m_begin = 30;
+            CHECK(
+                names(find_path(candidates, query)) == std::vector<std::string>{"second", "third"});
+        }
+    }
+    SUBCASE("prefers the faster of two copies")
+    {
+        auto fast = make_candidate("fast", {0, 80});
+        fast.m_layer_cost = 0.1;
+        candidates.push_back(fast);
+        CHECK(names(find_path(candidates, make_query())) == std::vector<std::string>{"fast"});
+    }
+    SUBCASE("crosses to another failure domain only where it is allowed to and has to")
+    {
+        candidates[1].m_failure_domain = "b";
+        CHECK(find_path(candidates, make_query()).m_hops.empty());
+        const auto crossing = find_path(candidates, make_query(""));
+        CHECK(runs_each_layer_once(crossing, 80));
+        candidates.push_back(make_candidate("own", {30, 60}));
+        CHECK(
+            names(find_path(candidates, make_query(""))) ==
+            std::vector<std::string>{"first", "own", "third"});
+    }
+}
+
+TEST_CASE("every path over random endpoints runs each layer once and in order")
+{
+    // Guards against a search that joins partial paths through the same endpoint.
+    const auto property = []
+    {
+        const auto count = *rc::gen::inRange(1, 14);
+        std::vector<path_candidate> candidates;
+        for (int i = 0; i < count; ++i)
+        {
+            const auto begin = static_cast<std::uint32_t>(*rc::gen::inRange(0, 20));
+            const auto length = static_cast<std::uint32_t>(*rc::gen::inRange(1, 15));
+            auto candidate = make_candidate(
+                std::to_string(i), {begin, std::min(begin + length, 20U)},
+                *rc::gen::inRange(0, 2) == 0 ? "a" : "b");
+            candidate.m_free_memory = *rc::gen::inRange(0, 30);
+            candidate.m_layer_cost = *rc::gen::inRange(1, 20);
+            candidates.push_back(candidate);
+        }
+        path_query query;
+        query.m_layers = 20;
+        query.m_tokens = 1;
+        const auto path = find_path(candidates, query);
+        RC_ASSERT(path.m_hops.empty() || runs_each_layer_once(path, 20));
+        for (const auto& hop : path.m_hops)
+        {
+            const auto& candidate = candidates[std::stoul(hop.m_endpoint)];
+            RC_ASSERT(candidate.m_layers.m_begin <= hop.m_layers.m_begin);
+            RC_ASSERT(hop.m_layers.m_end <= candidate.m_layers.m_end);
+            RC_ASSERT(candidate.m_free_memory >= hop.m_layers.m_end - hop.m_layers.m_begin);
+        }
+    };
+    CHECK(holds(property, 200, 11));
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/unit/wire_protocol_test.cpp
@@ -0,0 +1,160 @@
+#include "wire_decode.hpp"
+#include "wire_protocol.hpp"
+
+#include <fulmaryard/failure.hpp>
+
+#include <boost/json/parse.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace fulmaryard;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+http_request make_request()
+{
+    return {
+        "POST",
+        "/chat/1?x=2",
+        {{"Host", "shop.example:80"},
+         {"Fulmaryard-Attempt-Id", "9c41"},
+         {"Fulmaryard-Token-Usage", "1460,80"},
+         {"Fulmaryard-Length-Hint", "40"},
+         {"Fulmaryard-Prompt-Prefix", "5c1e07a2:800,e4402b7d:250"},
+         {"Fulmaryard-Deadline-Ms", "20000"},
+         {"Fulmaryard-Tenant", "somebody-else"},
+         {"Authorization", "Bearer secret"},
+         {"Connection", "keep-alive"},
+         {"X-Own", "kept"}},
+        "body"};
+}
+
+std::string field(const http_request& request, std::string_view name)
+{
+    return std::string(find_field(request.m_fields, name).value_or("none"));
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("unit");
+
+TEST_CASE("a call on the platform's wire")
+{
+    // Guards against a key that is passed on, an account that the caller chose, and a deadline that
+    // grants endpoints more time than the caller has.
+    const wire_protocol protocol;
+    const auto call = protocol.read_call(make_request());
+    REQUIRE(call.ok());
+    CHECK(call->m_id == "9c41");
+    CHECK(call->m_host == "shop.example");
+    CHECK(call->m_key == "secret");
+    CHECK(call->m_deadline == 20s);
+    CHECK(call->m_prompt_tokens == 1460);
+    CHECK(call->m_max_answer_tokens == 80);
+    CHECK(call->m_expected_answer_tokens == 40);
+    CHECK_FALSE(call->m_resume_after);
+
+    SUBCASE("needs an id")
+    {
+        http_request request = make_request();
+        request.m_fields.erase(request.m_fields.begin() + 1);
+        CHECK_FALSE(protocol.read_call(request).ok());
+    }
+    SUBCASE("reaches its endpoint with what the router sets and without the key")
+    {
+        call_target target;
+        target.m_endpoint = "i-1";
+        target.m_account = "kitwerk";
+        target.m_time_left = 1500ms;
+        target.m_path = {{"i-1", "10.0.0.1:80", {0, 30}}, {"i-2", "10.0.0.2:80", {30, 80}}};
+        target.m_resume_after = 12;
+        const auto sent = protocol.write_call(*call, target);
+        CHECK(sent.m_method == "POST");
+        CHECK(sent.m_target == "/chat/1?x=2");
+        CHECK(sent.m_body == "body");
+        CHECK(field(sent, "Authorization") == "none");
+        CHECK(field(sent, "Fulmaryard-Tenant") == "kitwerk");
+        CHECK(field(sent, "Fulmaryard-Deadline-Ms") == "1500");
+        CHECK(field(sent, "Fulmaryard-Expect-Instance") == "i-1");
+        CHECK(field(sent, "Fulmaryard-Hop-Count") == "10.0.0.1:80=0-30,10.0.0.2:80=30-80");
+        CHECK(field(sent, "Last-Event-Id") == "12");
+        CHECK(field(sent, "X-Own") == "kept");
+        CHECK(field(sent, "Connection") == "none");
+    }
+    SUBCASE("has an answer only if that carries its id")
+    {
+        const auto own = protocol.read_answer(
+            *call, 503,
+            {{"Fulmaryard-Attempt-Id", "9c41"},
+             {"Fulmaryard-Not-Executed", "1"},
+             {"At-Server", "10.0.0.2:80"}});
+        CHECK(own.m_own);
+        CHECK(own.m_not_run);
+        CHECK(own.m_at_fault == "10.0.0.2:80");
+        CHECK_FALSE(own.m_signed);
+        CHECK_FALSE(protocol.read_answer(*call, 200, {{"Fulmaryard-Attempt-Id", "9c42"}}).m_own);
+        // A plain 503 promises nothing.
+        CHECK_FALSE(
+            protocol.read_answer(*call, 503, {{"Fulmaryard-Attempt-Id", "9c41"}}).m_not_run);
+    }
+    SUBCASE("is refused with a time to return in seconds")
+    {
+        const auto refusal = protocol.refusal(*call, 503, 1250ms);
+        CHECK(find_field(refusal.m_fields, "Retry-After").value_or("") == "1.250");
+    }
+}
+
+TEST_CASE("ids of events")
+{
+    // Guards against a continued stream that repeats or skips an event.
+    const wire_protocol protocol;
+    CHECK(protocol.event_id("id: 7\ndata: x\n\n") == 7);
+    CHECK(protocol.event_id("data: id: 9\nid:8\n\n") == 8);
+    CHECK_FALSE(protocol.event_id("data: x\n\n"));
+}
+
+TEST_CASE("entries of the platform's store")
+{
+    // Guards against an entry of another writer that names an endpoint, or that hides the others.
+    const auto decode = [](const char* text)
+    { return decode_endpoint("i-1", boost::json::parse(text)); };
+    const auto record = decode(
+        R"({"service":"model","address":"10.0.0.1:80","zone":"a","slots":192,"state":"draining",
+            "kind":"l4","born":1770553709100,"seq":4,"layers":{"from":5,"target":9,"version":1}})");
+    REQUIRE(record.ok());
+    CHECK(record->m_leaving);
+    CHECK(record->m_accelerator == "l4");
+    CHECK(record->m_layers == layer_range{5, 9});
+    CHECK(record->m_started_ms == 1770553709100);
+    for (const auto* text :
+         {"null", "[]", "{}",
+          R"({"service":1,"address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready"})",
+          R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":1,"state":"odd"})",
+          R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":"1","state":"ready"})"})
+        CHECK_FALSE(decode(text).ok());
+}
+
+TEST_CASE("a configuration of the operators")
+{
+    // Guards against a version that is put in force although a part of it was not understood.
+    const auto decode = [](const char* text)
+    { return decode_configuration(boost::json::parse(text)); };
+    const auto configuration = decode(
+        R"({"version":7,"routes":[{"host":"h","path_prefix":"/a/","kind":"streaming",
+            "timeout_ms":20000,"slo_ms":500,"service":"model","attempts":2,"resumable":true}],
+            "services":[{"name":"model"}],
+            "tenants":[{"name":"t","api_keys":["k"],"priority":1},{"name":"u","api_keys":[]}]})");
+    REQUIRE(configuration.ok());
+    CHECK(configuration->m_version == 7);
+    CHECK(configuration->m_routes[0].m_kind == call_kind::streaming);
+    CHECK(configuration->m_routes[0].m_timeout == 20s);
+    CHECK(configuration->m_accounts[0].m_priority == 1U);
+    CHECK_FALSE(configuration->m_accounts[1].m_priority);
+    const auto broken = decode(R"({"version":8,"routes":[{"host":"h"}]})");
+    REQUIRE_FALSE(broken.ok());
+    CHECK(message_of(broken.status()).find("path_prefix") != std::string_view::npos);
+}
+
+TEST_SUITE_END();
