Avoid slow endpoints, move streams off them, and admit by what is still to be read

Change: an endpoint of a path without an event for 120 ms is asked for its pace, which counts in the cost of paths and is told to other routers; streams leave a slow endpoint for a path at 0.6 of the cost; a path whose endpoints have more to read than fits the objective takes no request. Ruled out: resending earlier (more to read again).

--- a/include/fulmaryard/pipeline_engine.hpp
+++ b/include/fulmaryard/pipeline_engine.hpp
@@ -20,6 +20,7 @@
     std::uint32_t m_batch_places{1};  ///< Requests that one first endpoint runs at once.
     double m_step_ms{0};              ///< One decode step over all layers at step factor 1.
     double m_step_per_request_ms{0};  ///< Added to a step for each request in the batch.
+    double m_read_per_second{0};      ///< Prompt tokens read through all layers at read factor 1.
     double m_load_seconds{0};         ///< Loading all layers.
     std::uint32_t m_loads_at_once{1}; ///< Loads that run at full speed together.
     std::uint32_t m_usual_prompt{0};  ///< Mean tokens of a prompt.
--- a/include/fulmaryard/request_room.hpp
+++ b/include/fulmaryard/request_room.hpp
@@ -12,8 +12,8 @@
 namespace fulmaryard
 {
 
-/// Memory and batch places of endpoints that requests hold: those of this process, and those that
-/// other routers last reported. Does no I/O. Not thread-safe.
+/// Memory, batch places and reading time of endpoints that requests hold: those of this process,
+/// and those that other routers last reported. Does no I/O. Not thread-safe.
 class request_room
 {
 public:
@@ -23,6 +23,7 @@
     struct endpoint_use
     {
         double m_memory{0};       ///< Tokens times layers.
+        double m_unread{0};       ///< Of prompts that are still to be read, tokens times layers.
         std::int64_t m_firsts{0}; ///< Requests whose path begins there.
         std::int64_t m_parts{0};  ///< Requests whose path crosses it.
 
@@ -33,8 +34,13 @@
     /// What a router reported counts for this long, since a process that ended holds nothing.
     static constexpr std::chrono::milliseconds peer_lifetime{1'500};
 
-    void take(const std::vector<path_hop>& path, double tokens);
-    void release(const std::vector<path_hop>& path, double tokens);
+    /// A request of `tokens` tokens at its end goes over `path`; `unread` tokens of it have to be
+    /// read first.
+    void take(const std::vector<path_hop>& path, double tokens, double unread = 0);
+    /// The endpoints of `path` have read `unread` tokens.
+    void on_read(const std::vector<path_hop>& path, double unread);
+    /// The request has ended; `unread` is what was not read.
+    void release(const std::vector<path_hop>& path, double tokens, double unread = 0);
 
     void on_peer_report(const std::string& router, use_by_endpoint use, time_point now);
 
--- a/src/endpoint_health.cpp
+++ b/src/endpoint_health.cpp
@@ -44,9 +44,46 @@
     return suspected;
 }
 
+void endpoint_health::on_pace(const std::string& id, double pace, bool own, time_point now)
+{
+    auto& reported = m_paces[id];
+    // What was reported to this process stays its own while other routers repeat it.
+    const bool still_own = reported.m_own && now - reported.m_time <= pace_lifetime;
+    if (own || !still_own)
+        reported = {pace, own, now, now + pace_lifetime * 2 / 3};
+}
+
+double endpoint_health::pace(const std::string& id, time_point now) const
+{
+    const auto found = m_paces.find(id);
+    if (found == m_paces.end() || now - found->second.m_time > pace_lifetime)
+        return 1;
+    return found->second.m_pace;
+}
+
+std::vector<std::pair<std::string, double>> endpoint_health::slow(time_point now) const
+{
+    std::vector<std::pair<std::string, double>> found;
+    for (const auto& [id, reported] : m_paces)
+    {
+        if (reported.m_own && reported.m_pace >= slow_pace &&
+            now - reported.m_time <= pace_lifetime)
+            found.emplace_back(id, reported.m_pace);
+    }
+    return found;
+}
+
 std::vector<std::string> endpoint_health::due_for_probe(time_point now)
 {
     std::vector<std::string> due;
+    for (auto& [id, reported] : m_paces)
+    {
+        if (!reported.m_own || reported.m_pace < slow_pace || now < reported.m_next_probe ||
+            now - reported.m_time > pace_lifetime)
+            continue;
+        reported.m_next_probe = now + probe_interval;
+        due.push_back(id);
+    }
     for (auto& [id, entry] : m_own)
     {
         if (now < entry.m_next_probe)
--- a/src/path_finder.cpp
+++ b/src/path_finder.cpp
@@ -62,6 +62,7 @@
     bool usable(const path_candidate& candidate) const
     {
         return candidate.m_layers.m_begin < candidate.m_layers.m_end &&
+               candidate.m_read_wait <= m_query.m_longest_wait &&
                (m_query.m_domain.empty() || candidate.m_failure_domain == m_query.m_domain);
     }
 
--- a/src/request_room.cpp
+++ b/src/request_room.cpp
@@ -5,18 +5,39 @@
 namespace fulmaryard
 {
 
-void request_room::take(const std::vector<path_hop>& path, double tokens)
+namespace
+{
+
+double layers_of(const path_hop& hop)
+{
+    return hop.m_layers.m_end - hop.m_layers.m_begin;
+}
+
+} // namespace
+
+void request_room::take(const std::vector<path_hop>& path, double tokens, double unread)
 {
     for (std::size_t i = 0; i < path.size(); ++i)
     {
         auto& use = m_own[path[i].m_endpoint];
-        use.m_memory += tokens * (path[i].m_layers.m_end - path[i].m_layers.m_begin);
+        use.m_memory += tokens * layers_of(path[i]);
+        use.m_unread += unread * layers_of(path[i]);
         use.m_firsts += i == 0 ? 1 : 0;
         ++use.m_parts;
     }
 }
 
-void request_room::release(const std::vector<path_hop>& path, double tokens)
+void request_room::on_read(const std::vector<path_hop>& path, double unread)
+{
+    for (const auto& hop : path)
+    {
+        const auto found = m_own.find(hop.m_endpoint);
+        if (found != m_own.end())
+            found->second.m_unread -= unread * layers_of(hop);
+    }
+}
+
+void request_room::release(const std::vector<path_hop>& path, double tokens, double unread)
 {
     for (std::size_t i = 0; i < path.size(); ++i)
     {
@@ -24,7 +45,8 @@
         if (found == m_own.end())
             continue;
         auto& use = found->second;
-        use.m_memory -= tokens * (path[i].m_layers.m_end - path[i].m_layers.m_begin);
+        use.m_memory -= tokens * layers_of(path[i]);
+        use.m_unread -= unread * layers_of(path[i]);
         use.m_firsts -= i == 0 ? 1 : 0;
         if (--use.m_parts == 0)
             m_own.erase(found);
@@ -49,6 +71,7 @@
         if (found == report.m_use.end())
             continue;
         total.m_memory += found->second.m_memory;
+        total.m_unread += found->second.m_unread;
         total.m_firsts += found->second.m_firsts;
         total.m_parts += found->second.m_parts;
     }
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -16,6 +16,9 @@
 // endpoint without memory interrupts a running request.
 constexpr double planned_memory_share = 0.92;
 
+// Part of the time that an endpoint reads prompts; the rest goes to requests that write.
+constexpr double reading_share = 0.5;
+
 // A path in another failure domain has to be faster by this, milliseconds a token, since answers
 // then cross between domains, which costs bandwidth.
 constexpr double foreign_domain_ms = 6;
@@ -122,6 +125,48 @@
     return static_cast<double>(call.m_prompt_tokens) + answer;
 }
 
+void router_core::note_pace(const std::string& id, double pace, bool own)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const bool was_slow = m_health.pace(id, now) >= endpoint_health::slow_pace;
+    m_health.on_pace(id, pace, own, now);
+    if (was_slow != (pace >= endpoint_health::slow_pace))
+    {
+        log_event(log_level::info, was_slow ? "endpoint_fast" : "endpoint_slow")
+            .with("endpoint", id)
+            .with("pace", pace)
+            .with("own", own);
+    }
+}
+
+double router_core::layer_cost(
+    const pipeline_engine& engine, const accelerator_kind& kind, const std::string& id,
+    time_point now) const
+{
+    const double requests = static_cast<double>(m_room.use(id, now).m_parts);
+    const double step = engine.m_step_ms + engine.m_step_per_request_ms * requests;
+    return step * kind.m_step_factor / engine.m_layers * std::max(m_health.pace(id, now), 1.0);
+}
+
+double router_core::path_cost(
+    const routed_service& service, const std::vector<path_hop>& path, std::size_t begin) const
+{
+    const auto now = std::chrono::steady_clock::now();
+    double cost = 0;
+    for (std::size_t i = begin; i < path.size(); ++i)
+    {
+        const auto* record = find_endpoint(path[i].m_endpoint);
+        const auto* kind =
+            record == nullptr ? nullptr : service.m_engine->find_kind(record->m_accelerator);
+        if (kind != nullptr)
+        {
+            cost += layer_cost(*service.m_engine, *kind, record->m_id, now) *
+                    (path[i].m_layers.m_end - path[i].m_layers.m_begin);
+        }
+    }
+    return cost;
+}
+
 std::vector<path_candidate>
 router_core::candidates(const routed_service& service, const std::set<std::string>& avoided) const
 {
@@ -143,8 +188,6 @@
         const auto use = m_room.use(id, now);
         const double free_mb =
             kind->m_memory_mb - (layers.m_end - layers.m_begin) * engine.m_layer_mb;
-        const double step =
-            engine.m_step_ms + engine.m_step_per_request_ms * static_cast<double>(use.m_parts);
         path_candidate candidate;
         candidate.m_endpoint = id;
         candidate.m_address = record.m_address;
@@ -152,7 +195,12 @@
         candidate.m_layers = layers;
         candidate.m_free_memory =
             free_mb * 1e6 * planned_memory_share / bytes_per_layer - use.m_memory;
-        candidate.m_layer_cost = step * kind->m_step_factor / engine.m_layers;
+        const double read_per_ms = engine.m_read_per_second * engine.m_layers /
+                                   kind->m_read_factor / std::max(m_health.pace(id, now), 1.0) /
+                                   1e3;
+        if (read_per_ms > 0)
+            candidate.m_read_wait = use.m_unread / (read_per_ms * reading_share);
+        candidate.m_layer_cost = layer_cost(engine, *kind, id, now);
         candidate.m_places = static_cast<std::int64_t>(engine.m_batch_places) - use.m_firsts;
         result.push_back(std::move(candidate));
     }
@@ -160,10 +208,12 @@
 }
 
 std::vector<path_hop> router_core::find_path(
-    const routed_service& service, double tokens, const std::set<std::string>& avoided) const
+    const routed_service& service, double tokens, std::chrono::milliseconds longest_wait,
+    const std::set<std::string>& avoided) const
 {
     const auto all = candidates(service, avoided);
     path_query query;
+    query.m_longest_wait = static_cast<double>(longest_wait.count());
     query.m_layers = service.m_engine->m_layers;
     query.m_tokens = tokens;
     std::set<std::string> domains;
@@ -187,7 +237,7 @@
     return best.m_hops;
 }
 
-std::vector<path_hop> router_core::find_path_behind(
+found_path router_core::find_path_behind(
     const routed_service& service, double tokens, const path_hop& first) const
 {
     const auto all = candidates(service, {first.m_endpoint});
@@ -197,15 +247,15 @@
     query.m_tokens = tokens;
     const auto* record = find_endpoint(first.m_endpoint);
     query.m_domain = record == nullptr ? "" : record->m_failure_domain;
-    auto rest = fulmaryard::find_path(all, query).m_hops;
-    if (rest.empty())
+    auto path = fulmaryard::find_path(all, query);
+    if (path.m_hops.empty())
     {
         query.m_domain.clear();
-        rest = fulmaryard::find_path(all, query).m_hops;
+        path = fulmaryard::find_path(all, query);
     }
-    if (!rest.empty())
-        rest.insert(rest.begin(), first);
-    return rest;
+    if (!path.m_hops.empty())
+        path.m_hops.insert(path.m_hops.begin(), first);
+    return path;
 }
 
 std::string
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -6,6 +6,7 @@
 #include <fulmaryard/endpoint_health.hpp>
 #include <fulmaryard/endpoint_membership.hpp>
 #include <fulmaryard/endpoint_protocol.hpp>
+#include <fulmaryard/found_path.hpp>
 #include <fulmaryard/metrics.hpp>
 #include <fulmaryard/path_candidate.hpp>
 #include <fulmaryard/request_room.hpp>
@@ -41,15 +42,22 @@
         boost::asio::io_context& io, const router_settings& settings,
         const endpoint_protocol& protocol);
 
-    /// Finds a path for `tokens` tokens: in the own failure domain, then in the others by the
-    /// room that they have left, then over several domains. Empty when there is none.
+    /// Finds a path for `tokens` tokens on which the prompt is read after `longest_wait` at most:
+    /// in the failure domain where a token takes the least time, or else over several domains.
+    /// Empty when there is none. time that a token takes there, then over several domains. Empty
+    /// when there is none on which the prompt is read after `longest_wait` at most.
     std::vector<path_hop> find_path(
-        const routed_service& service, double tokens, const std::set<std::string>& avoided) const;
+        const routed_service& service, double tokens, std::chrono::milliseconds longest_wait,
+        const std::set<std::string>& avoided) const;
 
     /// Finds a path that begins with `first`, which stays as it is. Empty when there is none.
-    std::vector<path_hop>
+    found_path
     find_path_behind(const routed_service& service, double tokens, const path_hop& first) const;
 
+    /// Time of one token over the hops of `path` from `begin` on, milliseconds.
+    double path_cost(
+        const routed_service& service, const std::vector<path_hop>& path, std::size_t begin) const;
+
     /// A plain endpoint of `service` with the least calls, none of `avoided`; empty when none.
     std::string
     choose_endpoint(const std::string& service, const std::set<std::string>& avoided) const;
@@ -69,6 +77,9 @@
     void suspect(const std::string& id, std::string_view reason);
     void clear_suspicion(const std::string& id);
 
+    /// Notes the pace that an endpoint reported to this process, or to another router.
+    void note_pace(const std::string& id, double pace, bool own);
+
     /// Notes that an endpoint refused for lack of memory; it is left out for a moment.
     void note_refusal(const std::string& id);
 
@@ -101,6 +112,9 @@
     router_streams* m_streams{nullptr};
 
 private:
+    double layer_cost(
+        const pipeline_engine& engine, const accelerator_kind& kind, const std::string& id,
+        time_point now) const;
     std::vector<path_candidate>
     candidates(const routed_service& service, const std::set<std::string>& avoided) const;
 
--- a/src/router_gossip.cpp
+++ b/src/router_gossip.cpp
@@ -99,12 +99,16 @@
     json::object use;
     for (const auto& [endpoint, held] : m_core.m_room.own())
     {
-        use[endpoint] =
-            json::array{static_cast<std::int64_t>(held.m_memory), held.m_firsts, held.m_parts};
+        use[endpoint] = json::array{
+            static_cast<std::int64_t>(held.m_memory), static_cast<std::int64_t>(held.m_unread),
+            held.m_firsts, held.m_parts};
     }
     json::array suspected;
     for (const auto& [endpoint, started] : m_core.m_health.own())
         suspected.push_back(json::array{endpoint, started});
+    json::array slow;
+    for (const auto& [endpoint, pace] : m_core.m_health.slow(std::chrono::steady_clock::now()))
+        slow.push_back(json::array{endpoint, pace});
     json::array layers;
     for (const auto& [endpoint, reported] : m_core.m_told_layers)
     {
@@ -115,6 +119,7 @@
         {"router", m_core.m_settings.m_name},
         {"use", std::move(use)},
         {"suspected", std::move(suspected)},
+        {"slow", std::move(slow)},
         {"layers", std::move(layers)}});
 }
 
@@ -146,8 +151,8 @@
         {
             const auto& numbers = held.as_array();
             use[std::string(endpoint)] = {
-                numbers.at(0).to_number<double>(), numbers.at(1).to_number<std::int64_t>(),
-                numbers.at(2).to_number<std::int64_t>()};
+                numbers.at(0).to_number<double>(), numbers.at(1).to_number<double>(),
+                numbers.at(2).to_number<std::int64_t>(), numbers.at(3).to_number<std::int64_t>()};
         }
         for (const auto& item : message.at("suspected").as_array())
         {
@@ -155,6 +160,11 @@
             m_core.m_health.on_peer_suspicion(
                 pair.at(0).as_string().c_str(), pair.at(1).to_number<std::uint64_t>(), now);
         }
+        for (const auto& item : message.at("slow").as_array())
+        {
+            const auto& pair = item.as_array();
+            m_core.note_pace(pair.at(0).as_string().c_str(), pair.at(1).to_number<double>(), false);
+        }
         for (const auto& item : message.at("layers").as_array())
         {
             const auto& entry = item.as_array();
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -349,8 +349,11 @@
         http_request query = m_core.m_protocol.write_load_query();
         const auto response = co_await call_endpoint(
             m_core.m_channels, record->m_address, std::move(query), probe_deadline);
-        if (response.ok())
-            m_core.clear_suspicion(endpoint);
+        if (!response.ok())
+            co_return;
+        m_core.clear_suspicion(endpoint);
+        if (const auto load = m_core.m_protocol.read_load(*response); load.ok())
+            m_core.note_pace(endpoint, load->m_pace, true);
     }
 
     void wait_for_signal()
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -23,16 +23,22 @@
 
 using steady = std::chrono::steady_clock;
 
-// A stream without an event for this long is looked into. Streams that run have an event every few
-// tens of milliseconds.
+// A stream without an event for this long is stalled by a lost endpoint, if there is one. Streams
+// that run have an event every few tens of milliseconds.
 constexpr std::chrono::milliseconds stall_suspected{300};
 
+// A stream without an event for this long is looked into, before the pause counts as late.
+constexpr std::chrono::milliseconds pause_checked{120};
+
+// A stream leaves a slow endpoint for a path on which a token takes this part of the time.
+constexpr double worthwhile_cost = 0.6;
+
 // A stream that has had no event for this long goes on elsewhere although nothing explains the
 // silence; callers leave after two seconds.
 constexpr std::chrono::milliseconds stall_unexplained{1'300};
 
 // Between two questions to the same endpoint: the lag of its report.
-constexpr std::chrono::milliseconds ask_interval{200};
+constexpr std::chrono::milliseconds ask_interval{300};
 
 // For a report or an order to be answered: several round trips.
 constexpr std::chrono::milliseconds answer_deadline{400};
@@ -40,6 +46,9 @@
 // Orders to take another path that one stall is worth; then the stream starts elsewhere.
 constexpr int max_repaths = 3;
 
+// Between two looks for a faster path for one stream.
+constexpr std::chrono::milliseconds move_interval{250};
+
 // A refused caller counts as returning until this long after the time that it was given.
 constexpr std::chrono::milliseconds promise_grace{4'000};
 
@@ -94,11 +103,15 @@
             continue;
         auto& session = *found->second;
         move_from_lost(session, now);
+        move_from_slow(session, now);
         const auto silent = now - session.last_progress();
         if (silent > stall_unexplained && !session.m_repath_pending)
             session.abandon_attempt("no event");
-        else if (silent > stall_suspected && !session.path().empty())
-            check_first(session.path().front().m_endpoint, now);
+        else if (silent > pause_checked)
+        {
+            for (const auto& hop : session.path())
+                check(hop.m_endpoint, now);
+        }
     }
     on_room();
 }
@@ -128,20 +141,55 @@
             session.abandon_attempt("no other path accepted");
         return;
     }
+    start_repath(session);
+}
+
+void router_streams::start_repath(stream_session& session)
+{
     session.m_repath_pending = true;
     asio::co_spawn(m_core.m_io, repath(session.id()), asio::detached);
 }
 
-void router_streams::check_first(const std::string& endpoint, time_point now)
+void router_streams::move_from_slow(stream_session& session, time_point now)
 {
+    const auto& path = session.path();
+    if (path.size() < 2 || session.m_repath_pending || session.m_repaths >= max_repaths ||
+        now < session.m_no_repath_before)
+        return;
+    const bool slow = std::any_of(
+        path.begin() + 1, path.end(),
+        [&](const path_hop& hop)
+        { return m_core.m_health.pace(hop.m_endpoint, now) >= endpoint_health::slow_pace; });
+    const auto* service = m_core.m_table->find_service(session.accepted().m_service);
+    if (!slow || service == nullptr)
+        return;
+    session.m_no_repath_before = now + move_interval;
+    const auto next = path_for(session, *service);
+    if (!next.m_hops.empty() && next.m_cost < worthwhile_cost * m_core.path_cost(*service, path, 1))
+        start_repath(session);
+}
+
+found_path router_streams::path_for(stream_session& session, const routed_service& service) const
+{
+    // What the stream holds now is free for its next path.
+    m_core.m_room.release(session.path(), session.tokens());
+    auto path = m_core.find_path_behind(service, session.tokens(), session.path().front());
+    m_core.m_room.take(session.path(), session.tokens());
+    return path;
+}
+
+void router_streams::check(const std::string& endpoint, time_point now)
+{
+    if (m_core.lost(endpoint))
+        return; // Asked until it answers.
     auto& asked = m_asked[endpoint];
     if (now - asked < ask_interval)
         return;
     asked = now;
-    asio::co_spawn(m_core.m_io, ask_first(endpoint), asio::detached);
+    asio::co_spawn(m_core.m_io, ask(endpoint), asio::detached);
 }
 
-asio::awaitable<void> router_streams::ask_first(std::string endpoint)
+asio::awaitable<void> router_streams::ask(std::string endpoint)
 {
     const auto* record = m_core.find_endpoint(endpoint);
     if (record == nullptr)
@@ -162,6 +210,7 @@
             .with("error", message_of(load.status()));
         co_return;
     }
+    m_core.note_pace(endpoint, load->m_pace, true);
     for (const auto& stalled : load->m_stalled)
     {
         const auto* at_fault = m_core.find_endpoint_at(stalled.m_address);
@@ -187,10 +236,7 @@
         co_return;
     }
     const auto first = session->path().front();
-    // What the stream holds now is free for its next path.
-    m_core.m_room.release(session->path(), session->tokens());
-    auto path = m_core.find_path_behind(*service, session->tokens(), first);
-    m_core.m_room.take(session->path(), session->tokens());
+    auto path = path_for(*session, *service).m_hops;
     if (path.empty())
     {
         session->m_repath_pending = false;
@@ -211,9 +257,16 @@
         session->on_repath(std::move(path));
         co_return;
     }
+    const auto head = response.ok()
+                          ? m_core.m_protocol.read_answer(
+                                session->accepted().m_call, response->m_status, response->m_fields)
+                          : answer_head{};
+    if (const auto* at_fault = m_core.find_endpoint_at(head.m_at_fault))
+        m_core.note_refusal(at_fault->m_id);
     log_event(log_level::info, "repath_refused")
         .with("request", session->accepted().m_call.m_id)
         .with("status", response.ok() ? response->m_status : 0)
+        .with("by", head.m_at_fault)
         .with("error", response.ok() ? response->m_body : message_of(response.status()));
     if (response.ok() && response->m_status == 404)
         session->abandon_attempt("its first endpoint does not know it");
--- a/src/router_streams.hpp
+++ b/src/router_streams.hpp
@@ -44,14 +44,17 @@
     std::size_t size() const { return m_sessions.size(); }
 
 private:
-    void check_first(const std::string& endpoint, time_point now);
-    boost::asio::awaitable<void> ask_first(std::string endpoint);
+    void check(const std::string& endpoint, time_point now);
+    boost::asio::awaitable<void> ask(std::string endpoint);
     boost::asio::awaitable<void> repath(std::uint64_t id);
     void move_from_lost(stream_session& session, time_point now);
+    void move_from_slow(stream_session& session, time_point now);
+    void start_repath(stream_session& session);
+    found_path path_for(stream_session& session, const routed_service& service) const;
 
     router_core& m_core;
     std::map<std::uint64_t, stream_session*> m_sessions;
-    std::map<std::string, time_point> m_asked; ///< When a first endpoint was last asked.
+    std::map<std::string, time_point> m_asked; ///< When an endpoint was last asked.
     std::map<std::pair<std::string, std::string>, time_point> m_promises;
     std::uint64_t m_next_id{0};
 };
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -37,12 +37,19 @@
 // Time between the end of a wait for room and the first event: reading a usual prompt.
 constexpr int objective_share_for_waiting = 2;
 
+// A request that is late already may wait this long for others to be read; callers leave after
+// two seconds.
+constexpr std::chrono::milliseconds late_read_wait{700};
+
 // A caller that returns has waited already; its turn comes within this time.
 constexpr std::chrono::milliseconds returning_wait{1'000};
 
 // An answer at the deadline still has to reach the caller.
 constexpr std::chrono::milliseconds end_margin{30};
 
+// Tokens of a usual event; those that were written are read again on another path.
+constexpr double tokens_per_event = 3;
+
 std::size_t whole_events(std::string_view text)
 {
     std::size_t end = 0;
@@ -138,6 +145,7 @@
         .with("path", describe(path))
         .with("events", m_events);
     release_path();
+    m_unread = 0;
     set_path(std::move(path));
     m_last_progress = steady::now();
 }
@@ -145,14 +153,33 @@
 void stream_session::set_path(std::vector<path_hop> path)
 {
     m_path = std::move(path);
-    m_core.m_room.take(m_path, m_tokens);
+    m_core.m_room.take(m_path, m_tokens, m_unread);
+}
+
+std::chrono::milliseconds stream_session::longest_read_wait() const
+{
+    if (m_returning || m_responded || m_tries > 0)
+        return late_read_wait;
+    return m_accepted.m_route.m_objective / objective_share_for_waiting;
+}
+
+double stream_session::unread_tokens() const
+{
+    return static_cast<double>(m_accepted.m_call.m_prompt_tokens) +
+           static_cast<double>(m_events) * tokens_per_event;
+}
+
+void stream_session::note_read()
+{
+    m_core.m_room.on_read(m_path, m_unread);
+    m_unread = 0;
 }
 
 void stream_session::release_path()
 {
     if (m_path.empty())
         return;
-    m_core.m_room.release(m_path, m_tokens);
+    m_core.m_room.release(m_path, m_tokens, m_unread);
     m_path.clear();
     m_core.m_line.on_released(m_tokens, steady::now());
     m_core.m_on_room();
@@ -230,9 +257,10 @@
         std::min(start + patience, m_accepted.m_end - end_margin)};
     if (m_core.m_line.empty() || !fresh)
     {
-        auto path = m_core.find_path(*service(), m_tokens, m_avoided);
+        auto path = m_core.find_path(*service(), m_tokens, longest_read_wait(), m_avoided);
         if (!path.empty())
         {
+            m_unread = unread_tokens();
             set_path(std::move(path));
             co_return true;
         }
@@ -246,10 +274,11 @@
         co_await m_turn.async_wait(use_tuple);
         if (m_gone || m_core.m_line.next() != m_id)
             continue;
-        auto path = m_core.find_path(*service(), m_tokens, m_avoided);
+        auto path = m_core.find_path(*service(), m_tokens, longest_read_wait(), m_avoided);
         if (path.empty())
             continue;
         m_core.m_line.remove(m_id);
+        m_unread = unread_tokens();
         set_path(std::move(path));
         m_core.m_on_room(); // The next in line may fit too.
         co_return true;
@@ -401,6 +430,7 @@
             const auto now = steady::now();
             m_last_progress = now;
             m_repaths = 0;
+            note_read();
             if (!m_responded)
             {
                 m_responded = true;
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -52,8 +52,9 @@
     /// The first endpoint has accepted to go on over `path`.
     void on_repath(std::vector<path_hop> path);
 
-    int m_repaths{0};             ///< Orders to take another path since the last progress.
-    bool m_repath_pending{false}; ///< Such an order is under way.
+    int m_repaths{0};              ///< Orders to take another path since the last progress.
+    bool m_repath_pending{false};  ///< Such an order is under way.
+    time_point m_no_repath_before; ///< For a faster path; one for a lost endpoint is not put off.
 
 private:
     enum class attempt_end
@@ -75,6 +76,9 @@
     bool may_try_again(attempt_end end);
     void set_path(std::vector<path_hop> path);
     void release_path();
+    std::chrono::milliseconds longest_read_wait() const;
+    double unread_tokens() const;
+    void note_read();
     const routed_service* service() const;
     void log_end(std::string_view outcome, std::string_view reason);
 
@@ -84,6 +88,7 @@
     std::shared_ptr<const routing_table> m_table;
     std::uint64_t m_id;
     double m_tokens{0};
+    double m_unread{0}; ///< Tokens that the path's endpoints still have to read.
     std::vector<path_hop> m_path;
     std::set<std::string>
         m_avoided;            ///< First endpoints that this stream will not be sent to again.
--- a/tests/unit/router_state_test.cpp
+++ b/tests/unit/router_state_test.cpp
@@ -127,14 +127,16 @@
     // that have ended.
     request_room room;
     const std::vector<path_hop> path{{"one", "", {0, 30}}, {"two", "", {30, 80}}};
-    room.take(path, 100);
+    room.take(path, 100, 20);
     room.take(path, 10);
-    CHECK(room.use("one", start) == request_room::endpoint_use{3300, 2, 2});
-    CHECK(room.use("two", start) == request_room::endpoint_use{5500, 0, 2});
-    room.on_peer_report("other", {{"two", {500, 1, 1}}}, start);
-    CHECK(room.use("two", start + 1s) == request_room::endpoint_use{6000, 1, 3});
-    CHECK(room.use("two", start + 2s) == request_room::endpoint_use{5500, 0, 2});
-    room.release(path, 100);
+    CHECK(room.use("one", start) == request_room::endpoint_use{3300, 600, 2, 2});
+    CHECK(room.use("two", start) == request_room::endpoint_use{5500, 1000, 0, 2});
+    room.on_peer_report("other", {{"two", {500, 7, 1, 1}}}, start);
+    CHECK(room.use("two", start + 1s) == request_room::endpoint_use{6000, 1007, 1, 3});
+    CHECK(room.use("two", start + 2s) == request_room::endpoint_use{5500, 1000, 0, 2});
+    room.on_read(path, 15);
+    CHECK(room.use("one", start).m_unread == 150);
+    room.release(path, 100, 5);
     room.release(path, 10);
     CHECK(room.own().empty());
 }
