--- a/include/fulmaryard/command.hpp
+++ b/include/fulmaryard/command.hpp
@@ -21,6 +21,7 @@
 /// `fulmaryard entry`, `argv[0]` being the name of the subcommand; likewise below.
 int run_entry_command(int argc, char** argv);
 int run_router_command(int argc, char** argv);
+int run_explain_command(int argc, char** argv);
 int run_side_command(int argc, char** argv);
 int run_apply_command(int argc, char** argv);
 int run_get_command(int argc, char** argv);
--- a/include/fulmaryard/log.hpp
+++ b/include/fulmaryard/log.hpp
@@ -30,6 +30,10 @@
 /// Call it before other threads log.
 void set_log_output(std::FILE* output) noexcept;
 
+/// Bounds the lines of one kind of event below `warning` that are written in a second; 0, the
+/// default, sets no bound. The next line of that kind says how many were left out. Thread-safe.
+void set_log_budget(std::uint32_t lines_per_second) noexcept;
+
 /// One event, written to the log output as one line of key=value pairs when it is destroyed:
 /// `time=... level=info event=stream_opened process=entry-1 stream=...`.
 /// Values with spaces, quotes or control characters are quoted and escaped.
--- a/src/command.cpp
+++ b/src/command.cpp
@@ -22,6 +22,7 @@
     {"entry", "run an entry instance", run_entry_command},
     {"side", "run the side process of an endpoint", run_side_command},
     {"router", "run a router on a platform whose endpoints serve requests", run_router_command},
+    {"explain", "print the log lines of one request", run_explain_command},
     {"check", "validate process settings and declarative files", run_check_command},
     {"apply", "put a declarative file in force", run_apply_command},
     {"get", "print the configuration in force or its history", run_get_command},
--- /dev/null
+++ b/src/explain_command.cpp
@@ -0,0 +1,89 @@
+#include <fulmaryard/command.hpp>
+#include <fulmaryard/failure.hpp>
+#include <fulmaryard/log_query.hpp>
+
+#include <fmt/format.h>
+
+#include <getopt.h>
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+namespace fulmaryard
+{
+
+namespace
+{
+
+constexpr const char* usage = "usage: fulmaryard explain [--around-ms N] REQUEST FILE...\n\n"
+                              "Prints the log lines of one request from the files of all "
+                              "processes in order of time, with what\nthe processes noted of its "
+                              "endpoints up to N ms (default 3000) before it began and after it "
+                              "ended.\n";
+
+// Long enough for an endpoint that was lost just before the request to show.
+constexpr std::chrono::milliseconds default_around{3'000};
+
+} // namespace
+
+int run_explain_command(int argc, char** argv)
+{
+    const std::array<option, 3> options{
+        {{"around-ms", required_argument, nullptr, 'a'},
+         {"help", no_argument, nullptr, 'h'},
+         {nullptr, 0, nullptr, 0}}};
+    auto around = default_around;
+    int chosen = 0;
+    optind = 1;
+    while ((chosen = getopt_long(argc, argv, "a:h", options.data(), nullptr)) != -1)
+    {
+        if (chosen == 'h')
+        {
+            fmt::print("{}", usage);
+            return exit_success;
+        }
+        const std::string text = chosen == 'a' ? optarg : "";
+        std::uint32_t number = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (chosen != 'a' || parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
+        {
+            fmt::print(stderr, "{}", usage);
+            return exit_usage;
+        }
+        around = std::chrono::milliseconds(number);
+    }
+    if (argc - optind < 2)
+    {
+        fmt::print(stderr, "{}", usage);
+        return exit_usage;
+    }
+    const std::string request = argv[optind];
+    std::vector<std::string> lines;
+    for (int i = optind + 1; i < argc; ++i)
+    {
+        std::ifstream file(argv[i]);
+        if (!file)
+        {
+            fmt::print(stderr, "{}: cannot be read\n", argv[i]);
+            return exit_invalid_file;
+        }
+        for (std::string line; std::getline(file, line);)
+            lines.push_back(std::move(line));
+    }
+    const auto found = lines_of_request(lines, request, around);
+    for (const auto& line : found)
+        fmt::print("{}\n", line);
+    if (found.empty())
+    {
+        fmt::print(stderr, "no line names request {}\n", request);
+        return exit_failed;
+    }
+    return exit_success;
+}
+
+} // namespace fulmaryard
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -11,6 +11,10 @@
 #include <climits>
 #include <cstdio>
 #include <iterator>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <utility>
 
 namespace fulmaryard
 {
@@ -33,6 +37,47 @@
     return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
 }
 
+std::atomic<std::uint32_t> lines_per_second{0};
+
+/// Lines of one kind of event in the second that runs.
+struct event_lines
+{
+    std::int64_t m_second{0};
+    std::uint64_t m_written{0};
+    std::uint64_t m_left_out{0};
+};
+
+/// Counts a line of `event`; nothing when it is beyond the budget, otherwise how many of its kind
+/// were left out before it.
+std::optional<std::uint64_t> take_line(std::string_view event)
+{
+    const std::uint64_t budget = lines_per_second.load(std::memory_order_relaxed);
+    if (budget == 0)
+        return 0;
+    static std::mutex mutex;
+    static std::map<std::string, event_lines, std::less<>> lines;
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+                            std::chrono::steady_clock::now().time_since_epoch())
+                            .count();
+    const std::lock_guard lock(mutex);
+    auto found = lines.find(event);
+    if (found == lines.end())
+        found = lines.emplace(std::string(event), event_lines{}).first;
+    auto& counted = found->second;
+    if (counted.m_second != second)
+    {
+        counted.m_second = second;
+        counted.m_written = 0;
+    }
+    if (counted.m_written >= budget)
+    {
+        ++counted.m_left_out;
+        return std::nullopt;
+    }
+    ++counted.m_written;
+    return std::exchange(counted.m_left_out, 0);
+}
+
 std::string& process_name()
 {
     static std::string name;
@@ -92,6 +137,11 @@
     output.store(stream, std::memory_order_relaxed);
 }
 
+void set_log_budget(std::uint32_t budget) noexcept
+{
+    lines_per_second.store(budget, std::memory_order_relaxed);
+}
+
 void set_log_process(std::string_view process)
 {
     process_name() = process;
@@ -100,6 +150,11 @@
 log_event::log_event(log_level level, std::string_view event)
     : m_enabled(level >= minimum_level.load(std::memory_order_relaxed))
 {
+    if (!m_enabled)
+        return;
+    const auto left_out_of_kind =
+        level < log_level::warning ? take_line(event) : std::optional<std::uint64_t>(0);
+    m_enabled = left_out_of_kind.has_value();
     if (!m_enabled)
         return;
     const auto now =
@@ -109,6 +164,8 @@
         level_names[static_cast<std::size_t>(level)], event);
     if (!process_name().empty())
         append("process", process_name());
+    if (*left_out_of_kind > 0)
+        append("left_out", fmt::format("{}", *left_out_of_kind));
 }
 
 log_event::~log_event()
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -140,6 +140,13 @@
     target.m_time_left = m_accepted.time_left(steady::now());
     const auto request = m_core.m_protocol.write_call(m_accepted.m_call, target);
     ++m_sends;
+    log_event(log_level::info, "call_sent")
+        .with("request", m_accepted.m_call.m_id)
+        .with("attempt", m_tries)
+        .with("endpoint", m_endpoint)
+        .with("address", target.m_address)
+        .with("kept_connection", reused)
+        .with("time_left_ms", target.m_time_left.count());
     const auto sent = co_await m_channel->send(request, m_attempt_end);
     if (!sent.ok())
     {
@@ -186,7 +193,7 @@
         .counter("fulmaryard_router_calls_total", fmt::format("outcome=\"{}\"", outcome))
         .add();
     m_core.m_metrics.histogram("fulmaryard_router_call_seconds").record(now - m_accepted.m_arrival);
-    log_event(end == attempt_end::answered ? log_level::debug : log_level::info, "call_ended")
+    log_event(log_level::info, "call_ended")
         .with("request", m_accepted.m_call.m_id)
         .with("outcome", outcome)
         .with("endpoint", m_endpoint)
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -268,6 +268,12 @@
     if (fresh && !m_core.m_line.worth_waiting(request, start))
         co_return false;
     m_core.m_line.add(request);
+    log_event(log_level::info, "request_queued")
+        .with("request", m_accepted.m_call.m_id)
+        .with("waiting", m_core.m_line.size())
+        .with("tokens", m_tokens)
+        .with("returning", m_returning)
+        .with("priority", m_accepted.m_priority);
     while (!m_gone && steady::now() < request.m_give_up_at)
     {
         m_turn.expires_at(request.m_give_up_at);
@@ -324,6 +330,15 @@
     target.m_resume_after = m_last_event;
     target.m_urgency = std::min<std::uint32_t>(m_accepted.m_priority, 9);
     const auto request = m_core.m_protocol.write_call(m_accepted.m_call, target);
+    log_event(log_level::info, "request_placed")
+        .with("request", m_accepted.m_call.m_id)
+        .with("attempt", m_tries)
+        .with("path", describe(m_path))
+        .with("tokens", m_tokens)
+        .with("after_event", m_last_event.value_or(0))
+        .with("priority", m_accepted.m_priority)
+        .with("version", m_table->version())
+        .with("time_left_ms", target.m_time_left.count());
     absl::StatusOr<http_response> response = http_response{};
     // A kept-alive connection may prove closed; the call then goes over a new one.
     for (bool reused = true;;)
@@ -360,6 +375,7 @@
     {
         m_cut_sends += m_abandoned || m_core.lost(first) ? 1 : 0;
         m_avoided.insert(first);
+        log_broken(response.ok() ? "answers of other calls" : message_of(response.status()));
         co_return attempt_end::broken;
     }
     if (head.m_not_run)
@@ -448,12 +464,16 @@
         if (!more.ok())
         {
             m_cut_sends += m_abandoned || m_core.lost(m_path.front().m_endpoint) ? 1 : 0;
+            log_broken(message_of(more.status()));
             co_return attempt_end::broken;
         }
     }
     // The end of an answer without a length may lie in the middle of an event.
     if (!text.empty())
+    {
+        log_broken("the answer ends within an event");
         co_return attempt_end::broken;
+    }
     m_core.m_channels.put(std::move(m_channel), steady::now());
     if (!m_responded)
     {
@@ -466,6 +486,16 @@
     co_return attempt_end::complete;
 }
 
+void stream_session::log_broken(std::string_view reason)
+{
+    log_event(log_level::info, "attempt_broken")
+        .with("request", m_accepted.m_call.m_id)
+        .with("reason", reason)
+        .with("path", describe(m_path))
+        .with("events", m_events)
+        .with("caller_left", m_gone);
+}
+
 asio::awaitable<void> stream_session::refuse(std::string_view reason)
 {
     const auto now = steady::now();
@@ -508,8 +538,8 @@
     m_core.m_metrics
         .counter("fulmaryard_router_streams_total", fmt::format("outcome=\"{}\"", outcome))
         .add();
-    log_event line(outcome == "answered" ? log_level::debug : log_level::info, "stream_ended");
-    line.with("request", m_accepted.m_call.m_id)
+    log_event(log_level::info, "stream_ended")
+        .with("request", m_accepted.m_call.m_id)
         .with("outcome", outcome)
         .with("reason", reason)
         .with("events", m_events)
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -80,6 +80,7 @@
     double unread_tokens() const;
     void note_read();
     const routed_service* service() const;
+    void log_broken(std::string_view reason);
     void log_end(std::string_view outcome, std::string_view reason);
 
     router_core& m_core;
--- /dev/null
+++ b/tests/unit/log_test.cpp
@@ -0,0 +1,111 @@
+#include <fulmaryard/log.hpp>
+#include <fulmaryard/log_query.hpp>
+
+#include <doctest/doctest.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <string>
+
+using namespace fulmaryard;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Sends log lines into a pipe and puts the usual output and budget back at the end.
+class log_pipe
+{
+public:
+    log_pipe()
+    {
+        REQUIRE(pipe(m_ends) == 0);
+        REQUIRE(fcntl(m_ends[0], F_SETFL, O_NONBLOCK) == 0);
+        m_output = fdopen(m_ends[1], "w");
+        set_log_output(m_output);
+    }
+    ~log_pipe()
+    {
+        set_log_output(stderr);
+        set_log_budget(0);
+        std::fclose(m_output);
+        close(m_ends[0]);
+    }
+
+    std::string read_all() const
+    {
+        std::string text;
+        char bytes[4096];
+        for (ssize_t size = 0; (size = read(m_ends[0], bytes, sizeof bytes)) > 0;)
+            text.append(bytes, static_cast<std::size_t>(size));
+        return text;
+    }
+
+private:
+    int m_ends[2]{};
+    std::FILE* m_output{nullptr};
+};
+
+} // namespace
+
+TEST_SUITE_BEGIN("unit");
+
+TEST_CASE("log lines to a reader that does not read")
+{
+    // Guards against a request that waits for the reader of the log.
+    const log_pipe output;
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < 20'000; ++i)
+        log_event(log_level::info, "tested").with("number", i);
+    CHECK(std::chrono::steady_clock::now() - start < 5s);
+    CHECK(output.read_all().find("number=0") != std::string::npos);
+
+    SUBCASE("are counted in the first line that is written again")
+    {
+        log_event(log_level::info, "tested").with("number", "last");
+        const auto text = output.read_all();
+        CHECK(text.find("number=last") != std::string::npos);
+        CHECK(text.find("lines_left_out_before=") != std::string::npos);
+    }
+}
+
+TEST_CASE("log lines beyond the budget of their kind")
+{
+    // Guards against a log whose volume grows with the load.
+    const log_pipe output;
+    set_log_budget(10);
+    for (int i = 0; i < 100; ++i)
+        log_event(log_level::info, "tested_budget").with("number", i);
+    log_event(log_level::warning, "tested_warning");
+    const auto text = output.read_all();
+    CHECK(text.find("number=0") != std::string::npos);
+    CHECK(text.find("number=90") == std::string::npos);
+    CHECK(text.find("event=tested_warning") != std::string::npos);
+}
+
+TEST_CASE("the lines of one request from several processes")
+{
+    // Guards against a search that misses what befell the request's endpoints.
+    const std::vector<std::string> lines{
+        "time=2026-12-04T10:00:09.000Z level=info event=stream_ended process=b request=r1 "
+        "outcome=answered first=i-1",
+        "time=2026-12-04T10:00:08.000Z level=warning event=endpoint_suspected process=b "
+        "endpoint=i-2 address=10.0.0.2:80 reason=\"calls stall at it\"",
+        "12.5 a time=2026-12-04T10:00:07.000Z level=info event=request_placed process=a "
+        "request=r1 path=\"10.0.0.1:80=0-40,10.0.0.2:80=40-80\"",
+        "time=2026-12-04T10:00:07.500Z level=info event=request_placed process=a request=r2",
+        "time=2026-12-04T09:00:08.000Z level=warning event=endpoint_suspected process=b "
+        "endpoint=i-2 address=10.0.0.2:80 reason=early",
+        "no line of a log"};
+    const auto found = lines_of_request(lines, "r1", 3s);
+    REQUIRE(found.size() == 3);
+    CHECK(found[0] == lines[2]);
+    CHECK(found[1] == lines[1]);
+    CHECK(found[2] == lines[0]);
+    CHECK(lines_of_request(lines, "r3", 3s).empty());
+}
+
+TEST_SUITE_END();
