--- a/src/log_query.cpp
+++ b/src/log_query.cpp
@@ -3,6 +3,8 @@
 #include <absl/strings/str_split.h>
 #include <absl/time/time.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <optional>
 #include <set>
@@ -17,7 +19,7 @@
 /// Value of `key` in a line of key=value pairs, without quotes; empty when it is not there.
 std::string value_of(std::string_view line, std::string_view key)
 {
-    const std::string start = " " + std::string(key) + "=";
+    const std::string start = fmt::format(" {}=", key);
     auto begin = line.find(start);
     if (begin == std::string_view::npos)
         return {};
@@ -32,7 +34,7 @@
 {
     absl::Time time;
     std::string error;
-    const std::string text = value_of(" " + line, "time");
+    const std::string text = value_of(fmt::format(" {}", line), "time");
     if (!absl::ParseTime(absl::RFC3339_full, text, &time, &error))
         return std::nullopt;
     return time;
