Share the slack of the retry budget between the routers that exist; test the router as a process

The stand-in standin_pipeline plays the store, model endpoints with layers and plain endpoints; the suite process.router covers a lost second and first endpoint, SIGTERM, a caller that leaves, a lost answer, the end of the router that gives orders and a store that is down.

--- a/include/fulmaryard/retry_budget.hpp
+++ b/include/fulmaryard/retry_budget.hpp
@@ -25,6 +25,9 @@
 
     explicit retry_budget(retry_budget_settings settings = {}) : m_settings(settings) {}
 
+    /// Replaces what is granted from now on.
+    void set(retry_budget_settings settings) { m_settings = settings; }
+
     void on_request(time_point now);
 
     /// Takes one retry from the budget; false when it is used up.
--- a/include/fulmaryard/router_settings.hpp
+++ b/include/fulmaryard/router_settings.hpp
@@ -22,7 +22,7 @@
     std::string m_log_level{"info"};       ///< "debug", "info", "warning" or "error".
     std::uint32_t m_grace_ms{8000};        ///< From SIGTERM to SIGKILL, milliseconds.
     std::uint32_t m_retry_percent{18};     ///< Retries for each hundred requests.
-    std::uint32_t m_retry_floor{10};       ///< Retries in 10 s that need no requests.
+    std::uint32_t m_retry_slack{40};       ///< Retries of all routers in 10 s beside these.
     std::uint32_t m_max_connections{3500}; ///< From callers.
 
     friend auto operator<=>(const router_settings&, const router_settings&) = default;
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -23,6 +23,9 @@
 // then cross between domains, which costs bandwidth.
 constexpr double foreign_domain_ms = 6;
 
+// Number of routers that share a budget while it is not known.
+constexpr std::uint64_t routers_assumed = 20;
+
 // An endpoint that refused gets no new request for this long: the lag of its report.
 constexpr std::chrono::milliseconds refusal_pause{200};
 
@@ -104,15 +107,17 @@
 
 void router_core::count_request(const std::string& service)
 {
-    const auto found = m_budgets.try_emplace(
-        service, retry_budget_settings{m_settings.m_retry_percent, m_settings.m_retry_floor});
-    found.first->second.on_request(std::chrono::steady_clock::now());
+    m_budgets[service].on_request(std::chrono::steady_clock::now());
 }
 
 bool router_core::try_retry(const std::string& service)
 {
-    const auto found = m_budgets.find(service);
-    return found != m_budgets.end() && found->second.try_retry(std::chrono::steady_clock::now());
+    // Each router has an equal part of the slack that all share. One that does not know how many
+    // there are takes little.
+    const std::uint64_t routers = m_routers == 0 ? routers_assumed : m_routers;
+    auto& budget = m_budgets[service];
+    budget.set({m_settings.m_retry_percent, m_settings.m_retry_slack / routers});
+    return budget.try_retry(std::chrono::steady_clock::now());
 }
 
 double router_core::expected_tokens(const routed_call& call, const pipeline_engine& engine)
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -110,6 +110,7 @@
     std::map<std::string, time_point> m_refused_until;
     std::function<void()> m_on_room; ///< Called when room may have become free.
     router_streams* m_streams{nullptr};
+    std::uint64_t m_routers{0}; ///< That share the retry budget; 0 while it is not known.
 
 private:
     double layer_cost(
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -173,6 +173,7 @@
 
     void on_routers(const std::vector<std::string>& addresses) override
     {
+        m_core.m_routers = addresses.size();
         m_gossip.set_routers(addresses);
     }
 
--- /dev/null
+++ b/tests/process/router_test.cpp
@@ -0,0 +1,346 @@
+#include "process/child_process.hpp"
+#include "process/event_stream.hpp"
+#include "process/reserved_port.hpp"
+#include "process/temporary_directory.hpp"
+#include "process/test_client.hpp"
+
+#include <fulmaryard/failure.hpp>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <doctest/doctest.h>
+#include <fmt/core.h>
+
+#include <csignal>
+#include <map>
+#include <memory>
+#include <thread>
+
+using namespace fulmaryard;
+using namespace fulmaryard::process_tests;
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+namespace
+{
+
+/// Polls until `condition` holds; false after `limit`.
+template <typename Condition>
+bool wait_until(const Condition& condition, std::chrono::milliseconds limit = 10s)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition())
+    {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(20ms);
+    }
+    return true;
+}
+
+/// A stand-in of the platform with its endpoints, and routers in front of it.
+class router_system
+{
+public:
+    explicit router_system(int models = 4)
+    {
+        m_platform = std::make_unique<child_process>(
+            std::string(FULMARYARD_STANDIN_DIRECTORY) + "/standin_pipeline",
+            std::vector<std::string>{"--listen", "127.0.0.1:0", "--models", std::to_string(models)},
+            m_directory.file("platform"));
+        const auto port = m_platform->wait_for_port(20s);
+        REQUIRE(port.ok());
+        m_store = fmt::format("127.0.0.1:{}", *port);
+    }
+
+    void start_router(const std::string& name)
+    {
+        auto& started = m_routers[name];
+        const std::string path = m_directory.file(name + ".yaml");
+        std::FILE* file = std::fopen(path.c_str(), "w");
+        fmt::print(
+            file,
+            "name: {}\nregion: r\nfailure_domain: domain-1\nplatform: {}\nlisten: {}\n"
+            "ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\ngrace_ms: 8000\n",
+            name, m_store, started.m_listen.address(), started.m_ready.address(),
+            started.m_metrics.address(), started.m_peer.address());
+        std::fclose(file);
+        started.m_process = std::make_unique<child_process>(
+            FULMARYARD_BINARY, std::vector<std::string>{"router", "--settings", path},
+            m_directory.file(name));
+        REQUIRE(wait_until([&] { return ready(name); }));
+    }
+
+    bool ready(const std::string& name) const
+    {
+        const auto response = test_client(m_routers.at(name).m_ready.address()).get("/readyz", 1s);
+        return response.ok() && response->m_status == 200;
+    }
+
+    child_process& process(const std::string& name) { return *m_routers.at(name).m_process; }
+    std::string address(const std::string& name) const
+    {
+        return m_routers.at(name).m_listen.address();
+    }
+    std::string metrics(const std::string& name) const
+    {
+        const auto response = test_client(m_routers.at(name).m_metrics.address()).get("/metrics");
+        return response.ok() ? response->m_body : "";
+    }
+
+    static http_request make_request(
+        const std::string& method, const std::string& path, const std::string& id,
+        const std::string& key = "secret")
+    {
+        return {
+            method,
+            path,
+            {{"Fulmaryard-Attempt-Id", id},
+             {"Fulmaryard-Deadline-Ms", "8000"},
+             {"Fulmaryard-Token-Usage", "10,100"},
+             {"Authorization", "Bearer " + key}},
+            ""};
+    }
+
+    /// Sends one request until it is answered with 200; the first requests find no layers yet.
+    bool serves(const std::string& name)
+    {
+        const auto id = fmt::format("warm-{}", ++m_warm);
+        http_request request = make_request("POST", "/chat/1", id);
+        request.m_fields[2].m_value = "10,2";
+        const auto response = test_client(address(name)).send(request);
+        return response.ok() && response->m_status == 200;
+    }
+
+    json::value journal() const { return test_client(m_store).get_json("/control"); }
+    void control(const json::object& order) const
+    {
+        REQUIRE(test_client(m_store).post("/control", json::serialize(order)).ok());
+    }
+    std::int64_t runs(const std::string& id) const
+    {
+        const auto seen = journal();
+        const auto* count = seen.at("runs").as_object().if_contains(id);
+        return count == nullptr ? 0 : count->to_number<std::int64_t>();
+    }
+
+private:
+    struct router
+    {
+        reserved_port m_listen;
+        reserved_port m_ready;
+        reserved_port m_metrics;
+        reserved_port m_peer;
+        std::unique_ptr<child_process> m_process;
+    };
+
+    temporary_directory m_directory;
+    std::unique_ptr<child_process> m_platform;
+    std::string m_store;
+    std::map<std::string, router> m_routers;
+    int m_warm{0};
+};
+
+/// Reads a stream to its end; the ids of its events in order, or an empty list when it broke.
+std::vector<std::string> read_ids(event_stream& stream)
+{
+    std::vector<std::string> ids;
+    for (;;)
+    {
+        const auto event = stream.next(5s);
+        if (!event.ok())
+        {
+            MESSAGE("stream broke after ", ids.size(), ": ", message_of(event.status()));
+            return {};
+        }
+        if (!*event)
+            return ids;
+        ids.push_back((*event)->m_id);
+    }
+}
+
+std::vector<std::string> expected_ids(int first, int last)
+{
+    std::vector<std::string> ids;
+    for (int id = first; id <= last; ++id)
+        ids.push_back(std::to_string(id));
+    return ids;
+}
+
+/// Address of the endpoint at `position` of the path of a request, from the router's log.
+std::string endpoint_of(const child_process& router, const std::string& id, std::size_t position)
+{
+    const auto log = router.output();
+    const auto line = log.find("event=request_placed");
+    auto at = log.find("request=" + id, line);
+    at = log.find("path=\"", at) + 6;
+    for (; position > 0; --position)
+        at = log.find(',', at) + 1;
+    return log.substr(at, log.find('=', at) - at);
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("router");
+
+TEST_CASE("a stream over a pipeline of endpoints")
+{
+    // Guards against events that are lost, repeated or joined from two runs when an endpoint of
+    // the path is lost, and against a caller that sees the loss.
+    router_system system;
+    system.start_router("router-1");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    auto stream = event_stream::open(
+        system.address("router-1"), router_system::make_request("POST", "/chat/1", "call-1"), 5s);
+    REQUIRE(stream.ok());
+    REQUIRE(stream->status() == 200);
+
+    SUBCASE("arrives whole and in order")
+    {
+        CHECK(read_ids(*stream) == expected_ids(1, 100));
+    }
+    SUBCASE("goes on when its second endpoint is lost")
+    {
+        REQUIRE(stream->next(5s).ok());
+        system.control({{"kill", endpoint_of(system.process("router-1"), "call-1", 1)}});
+        CHECK(read_ids(*stream) == expected_ids(2, 100));
+        CHECK(system.runs("call-1") == 1);
+    }
+    SUBCASE("goes on elsewhere when its first endpoint is lost")
+    {
+        REQUIRE(stream->next(5s).ok());
+        system.control({{"kill", endpoint_of(system.process("router-1"), "call-1", 0)}});
+        CHECK(read_ids(*stream) == expected_ids(2, 100));
+        CHECK(system.runs("call-1") == 2);
+    }
+    SUBCASE("ends although its router was told to stop")
+    {
+        REQUIRE(stream->next(5s).ok());
+        system.process("router-1").kill(SIGTERM);
+        CHECK(read_ids(*stream) == expected_ids(2, 100));
+        const auto code = system.process("router-1").wait(9s);
+        REQUIRE(code.ok());
+        CHECK(*code == 0);
+    }
+    CHECK(system.journal().at("wrong_paths").to_number<int>() == 0);
+}
+
+TEST_CASE("work of a caller that leaves")
+{
+    // Guards against endpoints that go on with a stream nobody reads.
+    router_system system;
+    system.start_router("router-1");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    {
+        auto stream = event_stream::open(
+            system.address("router-1"), router_system::make_request("POST", "/chat/1", "call-1"),
+            5s);
+        REQUIRE(stream.ok());
+        REQUIRE(stream->next(5s).ok());
+    }
+    CHECK(wait_until(
+        [&]
+        {
+            return system.metrics("router-1")
+                       .find("fulmaryard_router_streams_total{outcome=\"caller_left\"} 1") !=
+                   std::string::npos;
+        },
+        500ms));
+}
+
+TEST_CASE("calls to a plain service")
+{
+    // Guards against a call that runs twice, a refusal of one that ran, and a call without account.
+    router_system system;
+    system.start_router("router-1");
+    const test_client client(system.address("router-1"));
+    REQUIRE(wait_until(
+        [&]
+        {
+            const auto response =
+                client.send(router_system::make_request("GET", "/look/1", "look-warm"));
+            return response.ok() && response->m_status == 200;
+        }));
+
+    SUBCASE("are answered with the endpoint's own answer")
+    {
+        const auto response =
+            client.send(router_system::make_request("POST", "/orders/1", "order-1"));
+        REQUIRE(response.ok());
+        CHECK(response->m_status == 200);
+        CHECK(response->m_body == "done order-1");
+        CHECK(find_field(response->m_fields, "Fulmaryard-Response-Signature"));
+        CHECK(system.runs("order-1") == 1);
+    }
+    SUBCASE("run once and are not called refused when their answer is lost")
+    {
+        system.control({{"lose_answers", true}});
+        const auto response =
+            client.send(router_system::make_request("POST", "/orders/1", "order-2"));
+        REQUIRE(response.ok());
+        CHECK(response->m_status == 502);
+        CHECK(system.runs("order-2") == 1);
+
+        SUBCASE("but are sent again where they may be repeated")
+        {
+            const auto repeated =
+                client.send(router_system::make_request("GET", "/look/1", "look-2"));
+            REQUIRE(repeated.ok());
+            CHECK(system.runs("look-2") == 2);
+        }
+    }
+    SUBCASE("need a known key and a route")
+    {
+        const auto unknown =
+            client.send(router_system::make_request("POST", "/orders/1", "order-3", "other"));
+        REQUIRE(unknown.ok());
+        CHECK(unknown->m_status == 401);
+        const auto lost = client.send(router_system::make_request("POST", "/none/1", "order-4"));
+        REQUIRE(lost.ok());
+        CHECK(lost->m_status == 404);
+        CHECK(system.runs("order-3") == 0);
+    }
+}
+
+TEST_CASE("the placement of layers when the router that gives orders is killed")
+{
+    // Guards against a pipeline that nobody mends, and against two routers that give orders.
+    router_system system(3);
+    system.start_router("router-1");
+    system.start_router("router-2");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    const bool first_leads =
+        system.process("router-1").output().find("order_lease_won") != std::string::npos;
+    const std::string leader = first_leads ? "router-1" : "router-2";
+    const std::string other = first_leads ? "router-2" : "router-1";
+    CHECK(system.process(other).output().find("order_lease_won") == std::string::npos);
+    system.process(leader).kill(SIGKILL);
+    REQUIRE(system.process(leader).wait(5s).ok());
+    system.control({{"kill", "i-0"}, {"forget", "i-0"}});
+    CHECK(wait_until(
+        [&] { return system.process(other).output().find("layer_plan_read") != std::string::npos; },
+        4s));
+    CHECK(wait_until([&] { return system.serves(other); }, 5s));
+    CHECK(system.journal().at("wrong_paths").to_number<int>() == 0);
+}
+
+TEST_CASE("requests while the store is down")
+{
+    // Guards against routers that stop serving with the store, and against a store that is asked
+    // in a tight loop.
+    router_system system;
+    system.start_router("router-1");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    system.control({{"store_down", true}});
+    std::this_thread::sleep_for(1500ms);
+    CHECK(system.serves("router-1"));
+    CHECK(system.ready("router-1"));
+    system.control({{"store_down", false}});
+    CHECK(wait_until(
+        [&]
+        { return system.process("router-1").output().find("store_back") != std::string::npos; }));
+    CHECK(system.serves("router-1"));
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/standins/pipeline_main.cpp
@@ -0,0 +1,625 @@
+// Stand-in for a platform whose endpoints serve requests themselves: its object store, model
+// endpoints that hold layers, and plain endpoints. One process, one port for each.
+
+#include "standin_options.hpp"
+#include "standin_support.hpp"
+
+#include <fulmaryard/layer_range.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <tuple>
+
+using namespace fulmaryard;
+using namespace fulmaryard::standins;
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t model_layers = 12;
+constexpr auto event_interval = 15ms;
+constexpr auto load_time_per_layer = 10ms;
+constexpr auto stall_limit = 3s;
+constexpr std::size_t journal_limit = 100'000;
+
+std::uint64_t unix_ms()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          std::chrono::system_clock::now().time_since_epoch())
+                                          .count());
+}
+
+/// Objects by kind and name with one revision for all, and watches that wait for a change.
+class object_table
+{
+public:
+    struct change
+    {
+        std::uint64_t m_revision{0};
+        std::string m_kind;
+        json::object m_object;
+        bool m_deleted{false};
+    };
+
+    std::uint64_t put(const std::string& kind, const std::string& name, json::value spec)
+    {
+        json::object object{
+            {"metadata", json::object{{"name", name}, {"revision", ++m_revision}}},
+            {"spec", std::move(spec)}};
+        m_changes.push_back({m_revision, kind, object, false});
+        m_objects[kind][name] = std::move(object);
+        return m_revision;
+    }
+
+    void remove(const std::string& kind, const std::string& name)
+    {
+        json::object object = m_objects[kind][name];
+        object["metadata"].as_object()["revision"] = ++m_revision;
+        m_changes.push_back({m_revision, kind, std::move(object), true});
+        m_objects[kind].erase(name);
+    }
+
+    const json::object* find(const std::string& kind, const std::string& name)
+    {
+        const auto found = m_objects[kind].find(name);
+        return found == m_objects[kind].end() ? nullptr : &found->second;
+    }
+
+    asio::awaitable<http_response> answer(const http_request& request);
+
+private:
+    http_response write(const http_request& request, const std::string& kind, std::string name);
+    http_response list(const std::string& kind);
+    json::array changes(const std::string& kind, std::uint64_t after) const;
+
+    std::uint64_t m_revision{1};
+    std::map<std::string, std::map<std::string, json::object>> m_objects;
+    std::deque<change> m_changes;
+};
+
+http_response
+object_table::write(const http_request& request, const std::string& kind, std::string name)
+{
+    auto body = parse_object(request.m_body);
+    if (!body || !body->contains("metadata"))
+        return error_response(400, "expected an object with metadata");
+    const auto& metadata = body->at("metadata").as_object();
+    const bool create = request.m_method == "POST";
+    if (create)
+        name = text_of(metadata, "name");
+    const auto* present = find(kind, name);
+    if (create != (present == nullptr))
+        return error_response(create ? 409 : 404, "exists, or does not");
+    if (present != nullptr)
+    {
+        const auto& held = present->at("metadata").as_object();
+        if (number_of(metadata, "revision", 0) != number_of(held, "revision", 0))
+            return json_response(409, *present);
+        if (present->at("spec") == body->at("spec"))
+            return json_response(200, *present);
+    }
+    put(kind, name, body->at("spec"));
+    return json_response(200, *find(kind, name));
+}
+
+http_response object_table::list(const std::string& kind)
+{
+    json::array items;
+    for (const auto& [name, object] : m_objects[kind])
+        items.push_back(object);
+    return json_response(
+        200, json::object{{"items", items}, {"has_more", false}, {"as_of", m_revision}});
+}
+
+json::array object_table::changes(const std::string& kind, std::uint64_t after) const
+{
+    json::array events;
+    for (const auto& past : m_changes)
+    {
+        if (past.m_revision > after && past.m_kind == kind)
+            events.push_back(json::object{{"deleted", past.m_deleted}, {"object", past.m_object}});
+    }
+    return events;
+}
+
+asio::awaitable<http_response> object_table::answer(const http_request& request)
+{
+    const std::string path = decode_path(path_of(request.m_target));
+    const std::vector<std::string> parts = absl::StrSplit(path, '/');
+    const std::string kind = parts.size() > 2 ? parts[2] : "";
+    const std::string name = parts.size() > 3 ? parts[3] : "";
+    if (request.m_method != "GET")
+        co_return write(request, kind, name);
+    if (!name.empty())
+    {
+        const auto* object = find(kind, name);
+        co_return object == nullptr ? error_response(404, "no object")
+                                    : json_response(200, *object);
+    }
+    const auto watched = query_parameter(request.m_target, "watch");
+    if (!watched)
+        co_return list(kind);
+    std::uint64_t after = 0;
+    std::uint64_t wait_ms = 0;
+    const bool valid =
+        absl::SimpleAtoi(*watched, &after) &&
+        absl::SimpleAtoi(query_parameter(request.m_target, "wait_ms").value_or("0"), &wait_ms);
+    if (!valid)
+        co_return error_response(400, "watch and wait_ms are numbers");
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
+    json::array events = changes(kind, after);
+    while (events.empty() && std::chrono::steady_clock::now() < end)
+    {
+        co_await sleep_for(5ms);
+        events = changes(kind, after);
+    }
+    co_return json_response(
+        200, json::object{{"events", std::move(events)}, {"as_of", m_revision}});
+}
+
+struct hop
+{
+    std::string m_address;
+    layer_range m_layers;
+};
+
+/// Reads "IP:PORT=FROM-TO,..."; empty when malformed.
+std::vector<hop> parse_path(const std::string& text)
+{
+    std::vector<hop> path;
+    for (const auto part : absl::StrSplit(text, ',', absl::SkipEmpty()))
+    {
+        const std::vector<std::string> sides = absl::StrSplit(part, absl::ByAnyChar("=-"));
+        hop one;
+        if (sides.size() != 3 || !absl::SimpleAtoi(sides[1], &one.m_layers.m_begin) ||
+            !absl::SimpleAtoi(sides[2], &one.m_layers.m_end))
+            return {};
+        one.m_address = sides[0];
+        path.push_back(one);
+    }
+    return path;
+}
+
+class pipeline_standin;
+
+/// One endpoint: of the model when it has an accelerator, otherwise of the plain service.
+class endpoint_standin
+{
+public:
+    endpoint_standin(pipeline_standin& system, asio::io_context& io, json::object entry)
+        : m_system(system),
+          m_entry(std::move(entry)),
+          m_server(io, {}, [this](http_exchange& exchange) { return answer(exchange); })
+    {
+    }
+
+    void start();
+    void publish();
+    void kill();
+    void drain();
+
+    bool serves(layer_range layers) const
+    {
+        return m_alive && !m_draining && m_layers.m_begin <= layers.m_begin &&
+               layers.m_end <= m_layers.m_end;
+    }
+    bool alive() const { return m_alive; }
+    const std::string& address() const { return m_address; }
+    std::string id() const { return m_entry.at("id").as_string().c_str(); }
+
+private:
+    struct running_call
+    {
+        std::vector<hop> m_path;
+        std::string m_stalled_at;
+    };
+
+    asio::awaitable<void> answer(http_exchange& exchange);
+    asio::awaitable<void> answer_stream(http_exchange& exchange, const std::string& call);
+    asio::awaitable<void> answer_plain(http_exchange& exchange, const std::string& call);
+    asio::awaitable<bool> wait_for_path(const std::string& call);
+    http_response report() const;
+    http_response order(const http_request& request);
+    http_response repath(const json::object& order);
+    asio::awaitable<void> load(layer_range layers);
+
+    pipeline_standin& m_system;
+    json::object m_entry;
+    http_server m_server;
+    std::string m_address;
+    layer_range m_layers;
+    std::uint64_t m_orders{0};
+    bool m_busy{false};
+    bool m_alive{true};
+    bool m_draining{false};
+    std::map<std::string, running_call> m_calls;
+};
+
+class pipeline_standin
+{
+public:
+    pipeline_standin(asio::io_context& io, std::uint64_t models, std::uint64_t plain);
+
+    asio::awaitable<void> answer(http_exchange& exchange);
+    endpoint_standin* find(const std::string& address);
+    void note_run(const std::string& call);
+    void check_path(const std::vector<hop>& path);
+
+    asio::io_context& m_io;
+    object_table m_objects;
+    bool m_lose_answers{false}; ///< Plain endpoints run a call and close without an answer.
+    bool m_store_down{false};
+
+private:
+    http_response control(const http_request& request);
+    json::object configuration() const;
+
+    std::vector<std::unique_ptr<endpoint_standin>> m_endpoints;
+    std::map<std::string, int> m_runs;
+    int m_wrong_paths{0};
+    std::uint64_t m_version{1};
+};
+
+void endpoint_standin::start()
+{
+    const auto port = m_server.listen("127.0.0.1:0");
+    m_address = fmt::format("127.0.0.1:{}", port.ok() ? *port : 0);
+    m_entry["address"] = m_address;
+    m_entry["born"] = unix_ms();
+    publish();
+}
+
+void endpoint_standin::publish()
+{
+    json::object entry = m_entry;
+    entry.erase("id");
+    entry["state"] = m_draining ? "draining" : "ready";
+    if (m_layers.m_begin < m_layers.m_end)
+        entry["layers"] =
+            json::object{{"from", m_layers.m_begin}, {"target", m_layers.m_end}, {"version", 1}};
+    m_system.m_objects.put("servers", id(), std::move(entry));
+}
+
+void endpoint_standin::kill()
+{
+    m_alive = false;
+    m_server.stop_accepting();
+}
+
+void endpoint_standin::drain()
+{
+    m_draining = true;
+    publish();
+}
+
+asio::awaitable<void> endpoint_standin::answer(http_exchange& exchange)
+{
+    const http_request& request = exchange.request();
+    if (!m_alive)
+    {
+        exchange.abort_connection();
+        co_return;
+    }
+    http_response response;
+    if (request.m_target == "/report")
+        response = report();
+    else if (request.m_target == "/order")
+        response = order(request);
+    else
+    {
+        const std::string call(find_field(request.m_fields, "Fulmaryard-Attempt-Id").value_or(""));
+        if (m_entry.contains("kind"))
+            co_return co_await answer_stream(exchange, call);
+        co_return co_await answer_plain(exchange, call);
+    }
+    std::ignore = co_await exchange.respond(std::move(response));
+}
+
+http_response endpoint_standin::report() const
+{
+    json::array stalled;
+    for (const auto& [id, call] : m_calls)
+    {
+        if (!call.m_stalled_at.empty())
+            stalled.push_back(json::object{{"id", id}, {"address", call.m_stalled_at}});
+    }
+    return json_response(
+        200, json::object{
+                 {"seq", m_orders},
+                 {"busy", m_busy},
+                 {"pace", 1.0},
+                 {"running", m_calls.size()},
+                 {"layers", json::object{{"from", m_layers.m_begin}, {"target", m_layers.m_end}}},
+                 {"stalled", std::move(stalled)}});
+}
+
+http_response endpoint_standin::order(const http_request& request)
+{
+    const auto order = parse_object(request.m_body).value_or(json::object{});
+    if (text_of(order, "operation") == "repath")
+        return repath(order);
+    if (m_busy || number_of(order, "precondition", m_orders) != m_orders)
+        return error_response(409, "busy, or another order came before");
+    const layer_range layers{
+        static_cast<std::uint32_t>(number_of(order, "from", 0)),
+        static_cast<std::uint32_t>(number_of(order, "target", 0))};
+    if (layers == m_layers)
+        return error_response(200, "holds them");
+    ++m_orders;
+    m_busy = true;
+    asio::co_spawn(m_system.m_io, load(layers), asio::detached);
+    return error_response(202, "begun");
+}
+
+asio::awaitable<void> endpoint_standin::load(layer_range layers)
+{
+    co_await sleep_for(load_time_per_layer * (layers.m_end - layers.m_begin));
+    m_layers = layers;
+    m_busy = false;
+    if (m_alive)
+        publish();
+}
+
+http_response endpoint_standin::repath(const json::object& order)
+{
+    const auto call = m_calls.find(text_of(order, "id"));
+    if (call == m_calls.end())
+        return error_response(404, "no such call");
+    auto path = parse_path(text_of(order, "path"));
+    for (const auto& one : path)
+    {
+        auto* endpoint = m_system.find(one.m_address);
+        if (endpoint == nullptr || !endpoint->serves(one.m_layers))
+            return error_response(409, "a part is not there");
+    }
+    m_system.check_path(path);
+    call->second = {std::move(path), ""};
+    return error_response(200, "changed");
+}
+
+/// Waits until every endpoint of the call's path lives; false when it has waited too long.
+asio::awaitable<bool> endpoint_standin::wait_for_path(const std::string& call)
+{
+    const auto end = std::chrono::steady_clock::now() + stall_limit;
+    while (m_alive && std::chrono::steady_clock::now() < end)
+    {
+        auto& running = m_calls[call];
+        running.m_stalled_at.clear();
+        for (const auto& one : running.m_path)
+        {
+            auto* endpoint = m_system.find(one.m_address);
+            if (endpoint == nullptr || !endpoint->alive())
+                running.m_stalled_at = one.m_address;
+        }
+        if (running.m_stalled_at.empty())
+            co_return true;
+        co_await sleep_for(5ms);
+    }
+    co_return false;
+}
+
+asio::awaitable<void>
+endpoint_standin::answer_stream(http_exchange& exchange, const std::string& call)
+{
+    const http_request request = exchange.request();
+    const auto path =
+        parse_path(std::string(find_field(request.m_fields, "Fulmaryard-Hop-Count").value_or("")));
+    std::vector<http_field> fields{{"Fulmaryard-Attempt-Id", call}};
+    for (const auto& one : path)
+    {
+        auto* endpoint = m_system.find(one.m_address);
+        if (endpoint != nullptr && endpoint->serves(one.m_layers))
+            continue;
+        fields.push_back({"Fulmaryard-Not-Executed", "1"});
+        fields.push_back({"At-Server", one.m_address});
+        http_response refusal{503, std::move(fields), {}};
+        std::ignore = co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
+    m_system.check_path(path);
+    m_system.note_run(call);
+    std::uint64_t last = 0;
+    std::uint64_t events = 0;
+    const std::string counts(
+        find_field(request.m_fields, "Fulmaryard-Token-Usage").value_or("10,30"));
+    const bool valid =
+        absl::SimpleAtoi(
+            std::string(find_field(request.m_fields, "Last-Event-Id").value_or("0")), &last) &&
+        absl::SimpleAtoi(counts.substr(counts.find(',') + 1), &events);
+    m_calls[call] = {path, ""};
+    bool gone = !valid;
+    exchange.watch_client([&gone] { gone = true; });
+    fields.push_back({"Fulmaryard-Response-Signature", id()});
+    fields.push_back({"Content-Type", "text/event-stream"});
+    http_response head{200, std::move(fields), {}};
+    std::ignore = co_await exchange.begin_chunked(std::move(head));
+    while (!gone && last < events)
+    {
+        co_await sleep_for(event_interval);
+        if (!co_await wait_for_path(call))
+            break;
+        ++last;
+        const std::string event = fmt::format("id: {}\ndata: {} {}\n\n", last, call, last);
+        const auto sent = co_await exchange.send_events(event);
+        gone = gone || !sent.ok();
+    }
+    m_calls.erase(call);
+    if (last < events || !m_alive)
+        exchange.abort_connection();
+    else
+        std::ignore = co_await exchange.end_events();
+}
+
+asio::awaitable<void>
+endpoint_standin::answer_plain(http_exchange& exchange, const std::string& call)
+{
+    m_system.note_run(call);
+    if (m_system.m_lose_answers)
+    {
+        exchange.abort_connection();
+        co_return;
+    }
+    co_await sleep_for(5ms);
+    http_response response{
+        200,
+        {{"Fulmaryard-Attempt-Id", call}, {"Fulmaryard-Response-Signature", id()}},
+        "done " + call};
+    std::ignore = co_await exchange.respond(std::move(response));
+}
+
+pipeline_standin::pipeline_standin(asio::io_context& io, std::uint64_t models, std::uint64_t plain)
+    : m_io(io)
+{
+    m_objects.put("config", "main", configuration());
+    for (std::uint64_t i = 0; i < models + plain; ++i)
+    {
+        json::object entry{
+            {"id", fmt::format("i-{}", i)},
+            {"service", i < models ? "model" : "orders"},
+            {"zone", "domain-1"},
+            {"version", "v1"},
+            {"slots", 8}};
+        if (i < models)
+            entry["kind"] = "card";
+        m_endpoints.push_back(std::make_unique<endpoint_standin>(*this, m_io, std::move(entry)));
+        m_endpoints.back()->start();
+    }
+}
+
+json::object pipeline_standin::configuration() const
+{
+    // Memory of one endpoint: 8 of 12 layers and requests beside them, so that two hold a copy and
+    // the loss of one of them is survived by two others.
+    json::object engine{
+        {"slots", 8},
+        {"layers", model_layers},
+        {"layer_mb", 10.0},
+        {"kv_token_bytes", 12000.0},
+        {"step_ms", 1.0},
+        {"per_seq_ms", 0.01},
+        {"read_per_s", 100000.0},
+        {"loads_at_once", 4},
+        {"models", json::array{json::object{{"name", "standin"}, {"load_s", 0.12}}}},
+        {"usual", json::object{{"prompt", 50}, {"answer", 50}}},
+        {"kinds", json::array{json::object{
+                      {"name", "card"}, {"mb", 90.0}, {"pace", 1.0}, {"read_x", 1.0}}}}};
+    const auto route = [](const char* prefix, const char* kind, const char* service)
+    {
+        return json::object{{"name", service},    {"host", "127.0.0.1"}, {"path_prefix", prefix},
+                            {"kind", kind},       {"timeout_ms", 10000}, {"slo_ms", 500},
+                            {"service", service}, {"attempts", 2},       {"public", false},
+                            {"resumable", true},  {"priority", 1}};
+    };
+    return {
+        {"version", m_version},
+        {"routes",
+         json::array{
+             route("/chat/", "streaming", "model"), route("/orders/", "non_idempotent", "orders"),
+             route("/look/", "idempotent", "orders")}},
+        {"services",
+         json::array{
+             json::object{{"name", "model"}, {"engine", std::move(engine)}},
+             json::object{{"name", "orders"}}}},
+        {"tenants",
+         json::array{json::object{{"name", "kitwerk"}, {"api_keys", json::array{"secret"}}}}}};
+}
+
+endpoint_standin* pipeline_standin::find(const std::string& address)
+{
+    for (const auto& endpoint : m_endpoints)
+    {
+        if (endpoint->address() == address)
+            return endpoint.get();
+    }
+    return nullptr;
+}
+
+void pipeline_standin::note_run(const std::string& call)
+{
+    if (m_runs.size() < journal_limit)
+        ++m_runs[call];
+}
+
+void pipeline_standin::check_path(const std::vector<hop>& path)
+{
+    std::uint32_t next = 0;
+    for (const auto& one : path)
+    {
+        if (one.m_layers.m_begin != next)
+            break;
+        next = one.m_layers.m_end;
+    }
+    m_wrong_paths += next == model_layers ? 0 : 1;
+}
+
+http_response pipeline_standin::control(const http_request& request)
+{
+    if (request.m_method == "GET")
+    {
+        json::object runs;
+        for (const auto& [call, count] : m_runs)
+            runs[call] = count;
+        return json_response(
+            200, json::object{{"runs", std::move(runs)}, {"wrong_paths", m_wrong_paths}});
+    }
+    const auto order = parse_object(request.m_body).value_or(json::object{});
+    for (const auto& endpoint : m_endpoints)
+    {
+        if (endpoint->address() == text_of(order, "kill") ||
+            endpoint->id() == text_of(order, "kill"))
+            endpoint->kill();
+        if (endpoint->id() == text_of(order, "drain"))
+            endpoint->drain();
+        if (endpoint->id() == text_of(order, "forget"))
+            m_objects.remove("servers", endpoint->id());
+    }
+    m_lose_answers = flag_of(order, "lose_answers");
+    m_store_down = flag_of(order, "store_down");
+    return json_response(200, json::object{});
+}
+
+asio::awaitable<void> pipeline_standin::answer(http_exchange& exchange)
+{
+    const http_request request = exchange.request();
+    if (path_of(request.m_target) == "/control")
+    {
+        std::ignore = co_await exchange.respond(control(request));
+        co_return;
+    }
+    if (m_store_down)
+    {
+        std::ignore = co_await exchange.respond(error_response(503, "down"));
+        co_return;
+    }
+    auto response = co_await m_objects.answer(request);
+    std::ignore = co_await exchange.respond(std::move(response));
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::string listen = "127.0.0.1:0";
+    std::uint64_t models = 4;
+    std::uint64_t plain = 2;
+    if (!read_options(argc, argv, {{"listen", &listen}, {"models", &models}, {"plain", &plain}}))
+        return 2;
+    asio::io_context io;
+    pipeline_standin system(io, models, plain);
+    serve(io, listen, [&system](http_exchange& exchange) { return system.answer(exchange); });
+}
