--- a/src/check_command.cpp
+++ b/src/check_command.cpp
@@ -1,3 +1,5 @@
+#include "settings_template.hpp"
+
 #include <fulmaryard/command.hpp>
 #include <fulmaryard/configuration_parser.hpp>
 #include <fulmaryard/failure.hpp>
@@ -31,6 +33,20 @@
     return parse_side_settings(path).status();
 }
 
+absl::Status check_router_settings(const std::string& path)
+{
+    return parse_router_settings(path).status();
+}
+
+absl::Status check_router_template(const std::string& path)
+{
+    const auto text = read_text_file(path);
+    if (!text.ok())
+        return text.status();
+    const auto filled = fill_with_samples(*text);
+    return filled.ok() ? parse_router_settings(*filled, path).status() : filled.status();
+}
+
 absl::Status check_file(const std::string& path)
 {
     const auto text = read_text_file(path);
@@ -68,6 +84,8 @@
                 "options:\n"
                 "  --entry-settings FILE    settings of an entry\n"
                 "  --side-settings FILE     settings of a side process\n"
+                "  --router-settings FILE   settings of a router\n"
+                "  --router-template FILE   template of a router's settings\n"
                 "  --file FILE              declarative file\n"
                 "  --hash-key               read a secret from standard input, print its hash\n"
                 "  --help                   print this text\n");
@@ -77,9 +95,11 @@
 
 int run_check_command(int argc, char** argv)
 {
-    const std::array<option, 6> table{
+    const std::array<option, 8> table{
         {{"entry-settings", required_argument, nullptr, 'e'},
          {"side-settings", required_argument, nullptr, 's'},
+         {"router-settings", required_argument, nullptr, 'r'},
+         {"router-template", required_argument, nullptr, 't'},
          {"file", required_argument, nullptr, 'f'},
          {"hash-key", no_argument, nullptr, 'k'},
          {"help", no_argument, nullptr, 'h'},
@@ -97,6 +117,12 @@
         case 's':
             valid = report(optarg, check_side_settings(optarg)) && valid;
             break;
+        case 'r':
+            valid = report(optarg, check_router_settings(optarg)) && valid;
+            break;
+        case 't':
+            valid = report(optarg, check_router_template(optarg)) && valid;
+            break;
         case 'f':
             valid = report(optarg, check_file(optarg)) && valid;
             break;
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -1,6 +1,7 @@
 #include "router_core.hpp"
 
 #include <fulmaryard/log.hpp>
+#include <fulmaryard/metric_counter.hpp>
 #include <fulmaryard/path_finder.hpp>
 
 #include <algorithm>
@@ -117,7 +118,13 @@
     const std::uint64_t routers = m_routers == 0 ? routers_assumed : m_routers;
     auto& budget = m_budgets[service];
     budget.set({m_settings.m_retry_percent, m_settings.m_retry_slack / routers});
-    return budget.try_retry(std::chrono::steady_clock::now());
+    const bool granted = budget.try_retry(std::chrono::steady_clock::now());
+    m_metrics
+        .counter(
+            granted ? "fulmaryard_router_retries_total" : "fulmaryard_router_retries_denied_total",
+            fmt::format("service=\"{}\"", service))
+        .add();
+    return granted;
 }
 
 double router_core::expected_tokens(const routed_call& call, const pipeline_engine& engine)
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -180,12 +180,14 @@
     void on_store_lost() override
     {
         log_event(log_level::warning, "store_lost");
+        m_store_reachable = false;
         m_core.m_membership.on_store_lost(steady::now());
     }
 
     void on_store_back() override
     {
         log_event(log_level::info, "store_back");
+        m_store_reachable = true;
         m_core.m_membership.on_store_back(steady::now());
     }
 
@@ -315,12 +317,54 @@
     {
         http_response response{200, {{"Content-Type", "text/plain"}}, {}};
         if (path_of(exchange.request().m_target) == "/metrics")
-            response.m_body = m_core.m_metrics.expose();
+            response.m_body = m_core.m_metrics.expose() + expose_state();
+        else if (path_of(exchange.request().m_target) == "/dump")
+            response.m_body = dump();
         else
             response.m_status = 404;
         co_await exchange.respond(std::move(response));
     }
 
+    std::string expose_state() const
+    {
+        const auto now = steady::now();
+        const std::pair<std::string_view, std::uint64_t> gauges[] = {
+            {"streams", m_streams.size()},
+            {"waiting", m_core.m_line.size()},
+            {"endpoints", m_core.m_membership.endpoints().size()},
+            {"suspected", m_core.m_health.own().size()},
+            {"slow", m_core.m_health.slow(now).size()},
+            {"idle_connections", m_core.m_channels.idle()},
+            {"configuration_version", m_core.m_table == nullptr ? 0 : m_core.m_table->version()},
+            {"lease_held", m_layers.holds_lease() ? 1 : 0},
+            {"store_reachable", m_store_reachable ? 1 : 0}};
+        std::string text = "# TYPE fulmaryard_router_state gauge\n";
+        for (const auto& [of, value] : gauges)
+            text += fmt::format("fulmaryard_router_state{{of=\"{}\"}} {}\n", of, value);
+        return text;
+    }
+
+    /// What this process believes of each endpoint, a line each.
+    std::string dump() const
+    {
+        const auto now = steady::now();
+        std::string text;
+        for (const auto& [id, record] : m_core.m_membership.endpoints())
+        {
+            const auto use = m_core.m_room.use(id, now);
+            const auto layers = m_core.layers_of(record);
+            text += fmt::format(
+                "endpoint={} service={} address={} domain={} layers={}-{} leaving={} suspected={} "
+                "pace={} memory={:.0f} unread={:.0f} firsts={} parts={}\n",
+                id, record.m_service, record.m_address, record.m_failure_domain, layers.m_begin,
+                layers.m_end, record.m_leaving,
+                m_core.m_health.suspected(id, record.m_started_ms, now),
+                m_core.m_health.pace(id, now), use.m_memory, use.m_unread, use.m_firsts,
+                use.m_parts);
+        }
+        return text;
+    }
+
     asio::awaitable<void> tick()
     {
         while (!m_stopped)
@@ -424,6 +468,7 @@
     asio::steady_timer m_tick;
     bool m_stops_taking{false}; ///< New requests are refused; the process ends soon.
     bool m_stopped{false};
+    bool m_store_reachable{true};
 };
 
 router_process::router_process(
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -268,6 +268,7 @@
     if (fresh && !m_core.m_line.worth_waiting(request, start))
         co_return false;
     m_core.m_line.add(request);
+    m_core.m_metrics.counter("fulmaryard_router_queued_total").add();
     log_event(log_level::info, "request_queued")
         .with("request", m_accepted.m_call.m_id)
         .with("waiting", m_core.m_line.size())
--- a/tests/unit/wire_protocol_test.cpp
+++ b/tests/unit/wire_protocol_test.cpp
@@ -1,7 +1,9 @@
+#include "settings_template.hpp"
 #include "wire_decode.hpp"
 #include "wire_protocol.hpp"
 
 #include <fulmaryard/failure.hpp>
+#include <fulmaryard/settings_parser.hpp>
 
 #include <boost/json/parse.hpp>
 
@@ -106,6 +108,27 @@
     }
 }
 
+TEST_CASE("a template of router settings")
+{
+    // Guards against a deployment whose routers do not start.
+    constexpr std::string_view text =
+        "name: \"{{node_id}}\"\nregion: r\nfailure_domain: {{zone}}\n"
+        "platform: {{platform.address}}\nlisten: {{listen.front}}\n"
+        "ready_listen: {{listen.ready}}\nmetrics_listen: {{ip}}:9464\n"
+        "peer_listen: {{ip}}:{{port_range.0}}\ngrace_ms: {{contract_params.grace_s}}000\n"
+        "retry_slack: {{contract_params.budget_slack}}\n";
+    const auto filled = fill_with_samples(text);
+    REQUIRE(filled.ok());
+    const auto settings = parse_router_settings(*filled, "template");
+    REQUIRE(settings.ok());
+    CHECK(settings->m_grace_ms == 8000);
+    CHECK(settings->m_retry_slack == 198);
+    const auto unknown = fill_with_samples("name: {{nobody}}");
+    REQUIRE_FALSE(unknown.ok());
+    CHECK(message_of(unknown.status()).find("{{nobody}}") != std::string_view::npos);
+    CHECK_FALSE(fill_with_samples("name: {{node_id").ok());
+}
+
 TEST_CASE("ids of events")
 {
     // Guards against a continued stream that repeats or skips an event.
