--- a/include/fulmaryard/wait_line.hpp
+++ b/include/fulmaryard/wait_line.hpp
@@ -39,8 +39,12 @@
     /// Shortest time after which a caller is asked back; covers the lag of what routers report.
     static constexpr std::chrono::milliseconds shortest_return{300};
 
-    /// Whether a request may wait: its turn is expected before `give_up_at`.
-    bool worth_waiting(const waiting_request& request, time_point now) const;
+    /// Requests that may wait while the rate is not known yet.
+    static constexpr std::size_t most_at_start = 64;
+
+    /// Whether a request may wait: its turn is expected before `give_up_at`. In the first window
+    /// after the first question the rate is not known, and a bounded number may wait.
+    bool worth_waiting(const waiting_request& request, time_point now);
 
     void add(const waiting_request& request);
     void remove(std::uint64_t id);
@@ -79,6 +83,7 @@
     std::map<order_key, waiting_request> m_waiting;
     std::deque<released_room> m_released;
     time_point m_promised_until;
+    std::optional<time_point> m_first_asked;
 };
 
 } // namespace fulmaryard
