Serve what ends in time until a draining router ends; mend lint findings

Change: new requests are taken to the end if they end before the process does by the longest answer that their caller allows, and refused as not run otherwise.

--- a/include/fulmaryard/endpoint_channel.hpp
+++ b/include/fulmaryard/endpoint_channel.hpp
@@ -25,7 +25,7 @@
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
-    explicit endpoint_channel(boost::asio::any_io_executor executor);
+    explicit endpoint_channel(const boost::asio::any_io_executor& executor);
     ~endpoint_channel();
 
     boost::asio::awaitable<absl::Status> connect(std::string address, time_point deadline);
--- a/src/accepted_call.hpp
+++ b/src/accepted_call.hpp
@@ -25,6 +25,9 @@
     time_point m_arrival;
     time_point m_end; ///< The caller's deadline or the route's time-out.
 
+    /// When its router ends; a call that may last longer is refused.
+    time_point m_router_end{time_point::max()};
+
     std::chrono::milliseconds time_left(time_point now) const
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(m_end - now);
--- a/src/endpoint_channel.cpp
+++ b/src/endpoint_channel.cpp
@@ -76,7 +76,7 @@
     bool m_keep{false};
 };
 
-endpoint_channel::endpoint_channel(asio::any_io_executor executor)
+endpoint_channel::endpoint_channel(const asio::any_io_executor& executor)
     : m_state(std::make_unique<state>(executor))
 {
 }
--- a/src/log_query.cpp
+++ b/src/log_query.cpp
@@ -90,6 +90,7 @@
         found.begin(), found.end(),
         [](const auto& left, const auto& right) { return left.first < right.first; });
     std::vector<std::string> result;
+    result.reserve(found.size());
     for (const auto& [time, line] : found)
         result.push_back(*line);
     return result;
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace fulmaryard
@@ -59,6 +60,9 @@
             if (m_channel != nullptr)
                 m_channel->close();
         });
+    // The route's time-out bounds how long the call may last.
+    if (m_accepted.m_end > m_accepted.m_router_end)
+        co_return co_await finish(attempt_end::not_run);
     for (;;)
     {
         m_endpoint = m_core.choose_endpoint(m_accepted.m_service, m_avoided);
@@ -213,7 +217,7 @@
         const bool late = now >= m_attempt_end;
         response = m_core.m_protocol.refusal(m_accepted.m_call, late ? 504 : 502, {});
     }
-    co_await m_exchange.respond(std::move(response));
+    std::ignore = co_await m_exchange.respond(std::move(response));
 }
 
 } // namespace fulmaryard
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -25,6 +25,7 @@
 #include <fmt/format.h>
 
 #include <csignal>
+#include <tuple>
 #include <utility>
 
 namespace fulmaryard
@@ -43,8 +44,8 @@
 // this lies above any that operators set.
 constexpr std::chrono::milliseconds caller_idle{60'000};
 
-// After SIGTERM new requests are still served for this long, as callers are sent on until
-// readiness has been asked for twice.
+// After SIGTERM all new requests are still served for this long, as callers are sent on until
+// readiness has been asked for twice; later only those that end before the process does.
 constexpr std::chrono::milliseconds shortest_drain{2'500};
 
 // The process ends this long before it would be killed.
@@ -53,9 +54,6 @@
 // When a router that does not know its configuration yet expects to.
 constexpr std::chrono::milliseconds configuration_return{500};
 
-// A caller that a router which ends refuses finds another router at once.
-constexpr std::chrono::milliseconds shortest_return{50};
-
 constexpr std::chrono::milliseconds probe_deadline{300};
 
 constexpr std::size_t max_header_bytes = 64 * 1024;
@@ -179,14 +177,14 @@
 
     void on_store_lost() override
     {
-        log_event(log_level::warning, "store_lost");
+        log_event(log_level::warning, "store_lost").with("store", m_settings.m_platform);
         m_store_reachable = false;
         m_core.m_membership.on_store_lost(steady::now());
     }
 
     void on_store_back() override
     {
-        log_event(log_level::info, "store_back");
+        log_event(log_level::info, "store_back").with("store", m_settings.m_platform);
         m_store_reachable = true;
         m_core.m_membership.on_store_back(steady::now());
     }
@@ -223,23 +221,12 @@
         if (!call.ok())
         {
             http_response bad{400, {}, {}};
-            co_await exchange.respond(std::move(bad));
+            std::ignore = co_await exchange.respond(std::move(bad));
             co_return;
         }
         const auto table = m_core.m_table;
         unsigned refused = 0;
         std::string reason;
-        if (m_stops_taking)
-        {
-            // It might not be answered before the process ends.
-            log_event(log_level::info, "request_rejected")
-                .with("request", call->m_id)
-                .with("status", 503)
-                .with("reason", "the router ends");
-            auto response = m_core.m_protocol.refusal(*call, 503, shortest_return);
-            co_await exchange.respond(std::move(response));
-            co_return;
-        }
         const service_route* route = nullptr;
         const routing_account* account = nullptr;
         if (table == nullptr)
@@ -278,7 +265,7 @@
             auto response = m_core.m_protocol.refusal(
                 *call, refused,
                 refused == 503 ? configuration_return : std::chrono::milliseconds(0));
-            co_await exchange.respond(std::move(response));
+            std::ignore = co_await exchange.respond(std::move(response));
             co_return;
         }
         accepted_call accepted;
@@ -293,6 +280,8 @@
         if (accepted.m_call.m_deadline.count() > 0)
             longest = std::min(longest, accepted.m_call.m_deadline);
         accepted.m_end = arrival + longest;
+        if (m_takes_short_only)
+            accepted.m_router_end = m_last;
         const auto* service = table->find_service(accepted.m_service);
         if (service != nullptr && service->m_engine)
         {
@@ -310,7 +299,7 @@
     {
         const bool ready = m_lifecycle.phase() == lifecycle_phase::ready;
         http_response response{ready ? 200U : 503U, {}, {}};
-        co_await exchange.respond(std::move(response));
+        std::ignore = co_await exchange.respond(std::move(response));
     }
 
     asio::awaitable<void> serve_inspection(http_exchange& exchange)
@@ -322,7 +311,7 @@
             response.m_body = dump();
         else
             response.m_status = 404;
-        co_await exchange.respond(std::move(response));
+        std::ignore = co_await exchange.respond(std::move(response));
     }
 
     std::string expose_state() const
@@ -432,22 +421,19 @@
         if (!m_lifecycle.begin_drain())
             co_return;
         const auto start = steady::now();
-        const auto last =
-            start + std::chrono::milliseconds(m_settings.m_grace_ms) - end_before_kill;
+        m_last = start + std::chrono::milliseconds(m_settings.m_grace_ms) - end_before_kill;
         m_callers.close_connections();
         asio::steady_timer timer(m_io);
-        while (steady::now() < last)
+        while (steady::now() < m_last)
         {
-            if (!m_stops_taking && steady::now() >= start + shortest_drain)
-            {
-                m_stops_taking = true;
-                m_callers.stop_accepting();
-            }
-            if (m_stops_taking && m_callers.active_exchanges() == 0)
+            // A load balancer without another router of the failure domain goes on sending here.
+            m_takes_short_only = steady::now() >= start + shortest_drain;
+            if (m_takes_short_only && m_callers.active_exchanges() == 0)
                 break;
             timer.expires_after(tick_interval);
             co_await timer.async_wait(use_tuple);
         }
+        m_callers.stop_accepting();
         m_lifecycle.finish_drain();
         m_stopped = true;
         m_io.stop();
@@ -466,7 +452,8 @@
     http_server m_inspection;
     asio::signal_set m_signals;
     asio::steady_timer m_tick;
-    bool m_stops_taking{false}; ///< New requests are refused; the process ends soon.
+    bool m_takes_short_only{false}; ///< Requests that would outlast the process are refused.
+    steady::time_point m_last;      ///< When the process ends at the latest, once it drains.
     bool m_stopped{false};
     bool m_store_reachable{true};
 };
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace fulmaryard
@@ -156,6 +157,18 @@
     m_core.m_room.take(m_path, m_tokens, m_unread);
 }
 
+bool stream_session::outlasts_router(const std::vector<path_hop>& path) const
+{
+    if (m_accepted.m_router_end == time_point::max())
+        return false;
+    const double tokens = static_cast<double>(m_accepted.m_call.m_max_answer_tokens);
+    const double longest_ms =
+        2 * tokens * (m_core.path_cost(*service(), path, 0) + static_cast<double>(path.size())) +
+        static_cast<double>(late_read_wait.count());
+    return steady::now() + std::chrono::milliseconds(static_cast<std::int64_t>(longest_ms)) >
+           m_accepted.m_router_end;
+}
+
 std::chrono::milliseconds stream_session::longest_read_wait() const
 {
     if (m_returning || m_responded || m_tries > 0)
@@ -258,6 +271,8 @@
     if (m_core.m_line.empty() || !fresh)
     {
         auto path = m_core.find_path(*service(), m_tokens, longest_read_wait(), m_avoided);
+        if (!path.empty() && outlasts_router(path))
+            co_return false;
         if (!path.empty())
         {
             m_unread = unread_tokens();
@@ -265,6 +280,8 @@
             co_return true;
         }
     }
+    if (m_accepted.m_router_end != time_point::max())
+        co_return false;
     if (fresh && !m_core.m_line.worth_waiting(request, start))
         co_return false;
     m_core.m_line.add(request);
@@ -416,7 +433,7 @@
         co_return attempt_end::broken;
     http_response answer{head.m_status, std::move(head.m_fields), std::move(body)};
     m_responded = true;
-    co_await m_exchange.respond(std::move(answer));
+    std::ignore = co_await m_exchange.respond(std::move(answer));
     co_return attempt_end::passed_on;
 }
 
@@ -480,10 +497,10 @@
     {
         http_response whole{head.m_status, std::move(head.m_fields), {}};
         m_responded = true;
-        co_await m_exchange.respond(std::move(whole));
+        std::ignore = co_await m_exchange.respond(std::move(whole));
     }
     else
-        co_await m_exchange.end_events();
+        std::ignore = co_await m_exchange.end_events();
     co_return attempt_end::complete;
 }
 
@@ -516,7 +533,7 @@
                 .count());
     auto response = m_core.m_protocol.refusal(m_accepted.m_call, 503, retry_after);
     m_responded = true;
-    co_await m_exchange.respond(std::move(response));
+    std::ignore = co_await m_exchange.respond(std::move(response));
 }
 
 asio::awaitable<void> stream_session::give_up(std::string_view reason)
@@ -530,7 +547,7 @@
     auto response = m_core.m_protocol.refusal(
         m_accepted.m_call, steady::now() >= m_accepted.m_end ? 504 : 502, {});
     m_responded = true;
-    co_await m_exchange.respond(std::move(response));
+    std::ignore = co_await m_exchange.respond(std::move(response));
 }
 
 void stream_session::log_end(std::string_view outcome, std::string_view reason)
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -77,6 +77,8 @@
     void set_path(std::vector<path_hop> path);
     void release_path();
     std::chrono::milliseconds longest_read_wait() const;
+    /// Whether the stream may not have ended when its router does.
+    bool outlasts_router(const std::vector<path_hop>& path) const;
     double unread_tokens() const;
     void note_read();
     const routed_service* service() const;
--- a/src/wait_line.cpp
+++ b/src/wait_line.cpp
@@ -36,7 +36,7 @@
 {
     if (!m_first_asked)
         m_first_asked = now;
-    if (now - *m_first_asked < rate_window && m_released.empty())
+    if (now - *m_first_asked < rate_window)
         return m_waiting.size() < most_at_start;
     double ahead = request.m_tokens;
     for (const auto& [key, other] : m_waiting)
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -79,7 +79,7 @@
     set_log_budget(10);
     for (int i = 0; i < 100; ++i)
         log_event(log_level::info, "tested_budget").with("number", i);
-    log_event(log_level::warning, "tested_warning");
+    log_event(log_level::warning, "tested_warning").with("number", 0);
     const auto text = output.read_all();
     CHECK(text.find("number=0") != std::string::npos);
     CHECK(text.find("number=90") == std::string::npos);
@@ -89,17 +89,19 @@
 TEST_CASE("the lines of one request from several processes")
 {
     // Guards against a search that misses what befell the request's endpoints.
-    const std::vector<std::string> lines{
+    const std::string ended =
         "time=2026-12-04T10:00:09.000Z level=info event=stream_ended process=b request=r1 "
-        "outcome=answered first=i-1",
-        "time=2026-12-04T10:00:08.000Z level=warning event=endpoint_suspected process=b "
-        "endpoint=i-2 address=10.0.0.2:80 reason=\"calls stall at it\"",
+        "outcome=answered first=i-1";
+    const std::string suspected = "level=warning event=endpoint_suspected process=b endpoint=i-2 "
+                                  "address=10.0.0.2:80 reason=\"calls stall at it\"";
+    const std::string placed =
         "12.5 a time=2026-12-04T10:00:07.000Z level=info event=request_placed process=a "
-        "request=r1 path=\"10.0.0.1:80=0-40,10.0.0.2:80=40-80\"",
-        "time=2026-12-04T10:00:07.500Z level=info event=request_placed process=a request=r2",
-        "time=2026-12-04T09:00:08.000Z level=warning event=endpoint_suspected process=b "
-        "endpoint=i-2 address=10.0.0.2:80 reason=early",
-        "no line of a log"};
+        "request=r1 path=\"10.0.0.1:80=0-40,10.0.0.2:80=40-80\"";
+    const std::string other =
+        "time=2026-12-04T10:00:07.500Z level=info event=request_placed process=a request=r2";
+    const std::vector<std::string> lines{
+        ended, "time=2026-12-04T10:00:08.000Z " + suspected, placed,
+        other, "time=2026-12-04T09:00:08.000Z " + suspected, "no line of a log"};
     const auto found = lines_of_request(lines, "r1", 3s);
     REQUIRE(found.size() == 3);
     CHECK(found[0] == lines[2]);
--- a/tests/unit/wait_line_test.cpp
+++ b/tests/unit/wait_line_test.cpp
@@ -51,6 +51,8 @@
     }
     SUBCASE("waits as far as room becomes free within the objective")
     {
+        // The rate is known once the process has been asked for a whole window.
+        line.worth_waiting(make_request(1000), start - wait_line::rate_window);
         release_steadily(line, 40, start);
         int admitted = 0;
         for (std::uint64_t id = 1; id <= 100; ++id)
@@ -105,6 +107,7 @@
     wait_line line;
     release_steadily(line, 40, start);
     std::vector<std::chrono::milliseconds> times;
+    times.reserve(20);
     for (int i = 0; i < 20; ++i)
         times.push_back(line.promise_return(1000, start));
     CHECK(times.front() >= wait_line::shortest_return);
