--- a/include/fulmaryard/channel_pool.hpp
+++ b/include/fulmaryard/channel_pool.hpp
@@ -35,6 +35,9 @@
     /// Keeps a connection if another call can use it.
     void put(std::unique_ptr<endpoint_channel> channel, time_point now);
 
+    /// Closes the idle connections to an address, since one of them proved silent.
+    void drop(const std::string& address) { m_idle.erase(address); }
+
     /// Closes connections that their endpoints are about to close.
     void on_tick(time_point now);
 
--- a/src/endpoint_call.cpp
+++ b/src/endpoint_call.cpp
@@ -32,14 +32,16 @@
                 co_return status;
         }
         absl::StatusOr<http_response> response = http_response{};
-        const auto status = co_await channel->send(request, due);
+        // A kept-alive connection may have gone silent; half of the time is left for a new one.
+        const auto end = reused ? due - deadline / 2 : due;
+        const auto status = co_await channel->send(request, end);
         if (status.ok())
-            response = co_await channel->read_head(due);
+            response = co_await channel->read_head(end);
         else
             response = status;
         absl::StatusOr<bool> more = response.ok();
         while (response.ok() && more.ok() && *more)
-            more = co_await channel->read_body(response->m_body, due);
+            more = co_await channel->read_body(response->m_body, end);
         if (response.ok() && more.ok())
         {
             channels.put(std::move(channel), std::chrono::steady_clock::now());
@@ -51,6 +53,7 @@
                 co_return more.status();
             co_return response;
         }
+        channels.drop(address);
         reused = false;
     }
 }
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -78,6 +78,12 @@
             m_idle.push_back(std::move(connection));
     }
 
+    void drop_idle()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_idle.clear();
+    }
+
     asio::awaitable<absl::StatusOr<std::unique_ptr<pooled_connection>>>
     connect(std::chrono::steady_clock::time_point deadline)
     {
@@ -177,6 +183,9 @@
             auto result = co_await self->run(connection, message, due);
             if (result.m_keep)
                 self->put_idle(std::move(connection));
+            // A connection can go silent without being closed, and mostly does so with all others.
+            else if (!result.m_response.ok())
+                self->drop_idle();
             if (!result.m_closed_before_response)
                 co_return std::move(result.m_response);
         }
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -136,6 +136,8 @@
         .with("path", describe(m_path))
         .with("events", m_events);
     m_abandoned = true;
+    // Other connections of that time may have gone silent with it.
+    m_core.m_channels.drop(m_channel->address());
     m_channel->close();
 }
 
--- a/tests/unit/channel_pool_test.cpp
+++ b/tests/unit/channel_pool_test.cpp
@@ -2,6 +2,7 @@
 
 #include <fulmaryard/channel_pool.hpp>
 #include <fulmaryard/endpoint_call.hpp>
+#include <fulmaryard/http_client.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -50,6 +51,7 @@
 
     asio::awaitable<void> serve(asio::ip::tcp::socket socket)
     {
+        const int connection = m_connections;
         std::string received;
         for (;;)
         {
@@ -58,6 +60,8 @@
             if (error)
                 co_return;
             received.erase(0, size);
+            if (connection <= m_silent_up_to)
+                continue;
             co_await asio::async_write(socket, asio::buffer(m_answer), use_tuple);
         }
     }
@@ -65,6 +69,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     std::string m_answer;
     int m_connections{0};
+    int m_silent_up_to{0}; ///< Connections up to this number are read and not answered.
 };
 
 bool call(asio::io_context& io, channel_pool& channels, const std::string& address)
@@ -105,6 +110,13 @@
         CHECK(peer.m_connections == 1);
         CHECK(channels.idle() == 1);
 
+        SUBCASE("and are given up together when one has gone silent")
+        {
+            peer.m_silent_up_to = peer.m_connections;
+            CHECK(call(io, channels, peer.address()));
+            CHECK(peer.m_connections == 2);
+            CHECK(channels.idle() == 1);
+        }
         SUBCASE("and stay in the pool when the one used last is too old for a call")
         {
             CHECK(channels.take(peer.address(), 0ms, now + 1s) == nullptr);
@@ -139,4 +151,37 @@
     }
 }
 
+TEST_CASE("kept-alive connections to the platform that have gone silent")
+{
+    // Guards against a client that tries one silent connection after the other.
+    asio::io_context io;
+    endpoint peer(io, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    http_client client(io.get_executor(), peer.address());
+    int answered = 0;
+    int ended = 0;
+    const auto ask = [&]() -> asio::awaitable<void>
+    {
+        http_request request{"GET", "/", {}, {}};
+        const auto response = co_await client.send(std::move(request), 200ms);
+        answered += response.ok() ? 1 : 0;
+        ++ended;
+    };
+    const auto ask_together = [&](int count)
+    {
+        ended = 0;
+        answered = 0;
+        for (int i = 0; i < count; ++i)
+            asio::co_spawn(io, ask(), asio::detached);
+        io.restart();
+        while (ended < count)
+            io.run_one();
+        return answered;
+    };
+    REQUIRE(ask_together(4) == 4);
+    REQUIRE(peer.m_connections == 4);
+    peer.m_silent_up_to = peer.m_connections;
+    CHECK(ask_together(1) == 0);
+    CHECK(ask_together(1) == 1);
+}
+
 TEST_SUITE_END();
