Give an attempt up only when another one may follow

Attempts that were given up at a living endpoint were not counted against the route's limit either. Change: the retry is taken from the budget, and the route's limit checked, before an attempt is given up; otherwise the stream waits for its endpoint. router_test 'a stream that pauses while no retry is left' fails without the change.

--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -128,7 +128,14 @@
 
 void stream_session::abandon_attempt(std::string_view reason)
 {
-    if (m_channel == nullptr || m_abandoned)
+    if (m_channel == nullptr || m_abandoned || m_path.empty())
+        return;
+    // An endpoint that is silent may still go on, so an attempt is only given up for another one.
+    const std::uint32_t lost = m_core.lost(m_path.front().m_endpoint) ? 1 : 0;
+    const bool may_follow = m_tries < max_tries &&
+                            m_tries - m_cut_sends - lost < m_accepted.m_route.m_attempts &&
+                            (m_accepted.m_route.m_resumable || (!m_responded && !m_last_event));
+    if (!may_follow || !m_core.try_retry(m_accepted.m_service))
         return;
     log_event(log_level::info, "attempt_abandoned")
         .with("request", m_accepted.m_call.m_id)
@@ -256,7 +263,8 @@
         return false;
     if (end == attempt_end::not_run && m_sends >= m_accepted.m_route.m_attempts + m_cut_sends)
         return false;
-    return m_core.try_retry(m_accepted.m_service);
+    // The retry after an attempt that was given up has been taken from the budget already.
+    return m_abandoned || m_core.try_retry(m_accepted.m_service);
 }
 
 asio::awaitable<bool> stream_session::find_room()
@@ -393,7 +401,7 @@
     }
     if (!response.ok() || !head.m_own)
     {
-        m_cut_sends += m_abandoned || m_core.lost(first) ? 1 : 0;
+        m_cut_sends += m_core.lost(first) ? 1 : 0;
         m_avoided.insert(first);
         log_broken(response.ok() ? "answers of other calls" : message_of(response.status()));
         co_return attempt_end::broken;
@@ -483,7 +491,7 @@
             co_return attempt_end::broken;
         if (!more.ok())
         {
-            m_cut_sends += m_abandoned || m_core.lost(m_path.front().m_endpoint) ? 1 : 0;
+            m_cut_sends += m_core.lost(m_path.front().m_endpoint) ? 1 : 0;
             log_broken(message_of(more.status()));
             co_return attempt_end::broken;
         }
--- a/tests/process/router_test.cpp
+++ b/tests/process/router_test.cpp
@@ -54,7 +54,7 @@
         m_store = fmt::format("127.0.0.1:{}", *port);
     }
 
-    void start_router(const std::string& name)
+    void start_router(const std::string& name, const std::string& more_settings = "")
     {
         auto& started = m_routers[name];
         const std::string path = m_directory.file(name + ".yaml");
@@ -62,9 +62,9 @@
         fmt::print(
             file,
             "name: {}\nregion: r\nfailure_domain: domain-1\nplatform: {}\nlisten: {}\n"
-            "ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\ngrace_ms: 8000\n",
+            "ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\ngrace_ms: 8000\n{}",
             name, m_store, started.m_listen.address(), started.m_ready.address(),
-            started.m_metrics.address(), started.m_peer.address());
+            started.m_metrics.address(), started.m_peer.address(), more_settings);
         std::fclose(file);
         started.m_process = std::make_unique<child_process>(
             FULMARYARD_BINARY, std::vector<std::string>{"router", "--settings", path},
@@ -226,6 +226,23 @@
     CHECK(system.journal().at("wrong_paths").to_number<int>() == 0);
 }
 
+TEST_CASE("a stream that pauses while no retry is left")
+{
+    // Guards against a router that cuts a stream which it cannot continue, although its endpoint
+    // goes on.
+    router_system system;
+    system.start_router("router-1", "retry_percent: 0\nretry_slack: 0\n");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    auto stream = event_stream::open(
+        system.address("router-1"), router_system::make_request("POST", "/chat/1", "call-1"), 5s);
+    REQUIRE(stream.ok());
+    REQUIRE(stream->next(5s).ok());
+    system.control(
+        {{"pause", endpoint_of(system.process("router-1"), "call-1", 0)}, {"pause_ms", 1800}});
+    CHECK(read_ids(*stream) == expected_ids(2, 100));
+    CHECK(system.runs("call-1") == 1);
+}
+
 TEST_CASE("work of a caller that leaves")
 {
     // Guards against endpoints that go on with a stream nobody reads.
--- a/tests/standins/pipeline_main.cpp
+++ b/tests/standins/pipeline_main.cpp
@@ -212,6 +212,11 @@
     void publish();
     void kill();
     void drain();
+    /// Sends no events for this long; reports are still given.
+    void pause(std::chrono::milliseconds time)
+    {
+        m_paused_until = std::chrono::steady_clock::now() + time;
+    }
 
     bool serves(layer_range layers) const
     {
@@ -247,6 +252,7 @@
     bool m_busy{false};
     bool m_alive{true};
     bool m_draining{false};
+    std::chrono::steady_clock::time_point m_paused_until;
     std::map<std::string, running_call> m_calls;
 };
 
@@ -450,7 +456,9 @@
     std::ignore = co_await exchange.begin_chunked(std::move(head));
     while (!gone && last < events)
     {
-        co_await sleep_for(event_interval);
+        do
+            co_await sleep_for(event_interval);
+        while (!gone && std::chrono::steady_clock::now() < m_paused_until);
         if (!co_await wait_for_path(call))
             break;
         ++last;
@@ -583,6 +591,8 @@
         if (endpoint->address() == text_of(order, "kill") ||
             endpoint->id() == text_of(order, "kill"))
             endpoint->kill();
+        if (endpoint->address() == text_of(order, "pause"))
+            endpoint->pause(std::chrono::milliseconds(number_of(order, "pause_ms", 0)));
         if (endpoint->id() == text_of(order, "drain"))
             endpoint->drain();
         if (endpoint->id() == text_of(order, "forget"))
