Continue a stream after a refused continuation while its caller waits

Change: a refused continuation does not count against the route's limit; an endpoint that leaves counts as one that cut its work off, and is not tried again.

--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -84,6 +84,13 @@
     }
 }
 
+/// Whether an endpoint is gone, silent or leaving, so that it may have cut off what it ran.
+bool has_ended(const router_core& core, const std::string& endpoint)
+{
+    const auto* record = core.find_endpoint(endpoint);
+    return record == nullptr || !core.usable(*record);
+}
+
 std::string describe(const std::vector<path_hop>& path)
 {
     std::string text;
@@ -401,7 +408,7 @@
     }
     if (!response.ok() || !head.m_own)
     {
-        m_cut_sends += m_core.lost(first) ? 1 : 0;
+        m_cut_sends += has_ended(m_core, first) ? 1 : 0;
         m_avoided.insert(first);
         log_broken(response.ok() ? "answers of other calls" : message_of(response.status()));
         co_return attempt_end::broken;
@@ -411,6 +418,8 @@
         const auto* at_fault = m_core.find_endpoint_at(head.m_at_fault);
         const auto refused_by = at_fault != nullptr ? at_fault->m_id : first;
         m_core.note_refusal(refused_by);
+        // What continues a stream and was refused has run nowhere; the caller still waits for it.
+        m_sends -= m_responded ? 1 : 0;
         log_event(log_level::info, "attempt_refused")
             .with("request", m_accepted.m_call.m_id)
             .with("status", head.m_status)
@@ -491,7 +500,9 @@
             co_return attempt_end::broken;
         if (!more.ok())
         {
-            m_cut_sends += m_core.lost(m_path.front().m_endpoint) ? 1 : 0;
+            const auto first = m_path.front().m_endpoint;
+            m_cut_sends += has_ended(m_core, first) ? 1 : 0;
+            m_avoided.insert(first);
             log_broken(message_of(more.status()));
             co_return attempt_end::broken;
         }
