Bound what paths send over the pipes between failure domains

Change: crossing_budget, a pure module: each router's part of 0.4 of the pipe, in bytes of activations. stream_ended carries the first event's time and the longest pause, request_placed the predicted time of a token. Ruled out: steps and reading of the endpoints (mean gaps fit the predicted time of a token), preemption (121 requests).

--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -24,6 +24,10 @@
 // then cross between domains, which costs bandwidth.
 constexpr double foreign_domain_ms = 6;
 
+// Part of the pipe between failure domains that new paths may fill. Transfers wait for each other,
+// so that streams would pause for long well before it is full.
+constexpr double pipe_share = 0.4;
+
 // Number of routers that share a budget while it is not known.
 constexpr std::uint64_t routers_assumed = 20;
 
@@ -115,9 +119,8 @@
 {
     // Each router has an equal part of the slack that all share. One that does not know how many
     // there are takes little.
-    const std::uint64_t routers = m_routers == 0 ? routers_assumed : m_routers;
     auto& budget = m_budgets[service];
-    budget.set({m_settings.m_retry_percent, m_settings.m_retry_slack / routers});
+    budget.set({m_settings.m_retry_percent, m_settings.m_retry_slack / routers()});
     const bool granted = budget.try_retry(std::chrono::steady_clock::now());
     m_metrics
         .counter(
@@ -127,6 +130,40 @@
     return granted;
 }
 
+std::uint64_t router_core::routers() const
+{
+    return m_routers == 0 ? routers_assumed : m_routers;
+}
+
+bool router_core::may_cross(const routed_service& service, time_point now)
+{
+    const auto& engine = *service.m_engine;
+    if (engine.m_pipe_bytes_per_second <= 0)
+        return true;
+    auto& budget = m_crossings[service.m_name];
+    budget.set(engine.m_pipe_bytes_per_second * pipe_share / static_cast<double>(routers()));
+    return budget.may_cross(now);
+}
+
+void router_core::count_crossings(
+    const routed_service& service, const std::vector<path_hop>& path, double tokens)
+{
+    int crossings = 0;
+    for (std::size_t i = 1; i < path.size(); ++i)
+    {
+        const auto* from = find_endpoint(path[i - 1].m_endpoint);
+        const auto* to = find_endpoint(path[i].m_endpoint);
+        if (from != nullptr && to != nullptr && from->m_failure_domain != to->m_failure_domain)
+            ++crossings;
+    }
+    if (crossings > 0)
+    {
+        m_crossings[service.m_name].take(
+            crossings * tokens * service.m_engine->m_activation_bytes,
+            std::chrono::steady_clock::now());
+    }
+}
+
 double router_core::expected_tokens(const routed_call& call, const pipeline_engine& engine)
 {
     double answer = static_cast<double>(call.m_expected_answer_tokens);
@@ -221,7 +258,7 @@
 
 std::vector<path_hop> router_core::find_path(
     const routed_service& service, double tokens, std::chrono::milliseconds longest_wait,
-    const std::set<std::string>& avoided) const
+    const std::set<std::string>& avoided)
 {
     const auto all = candidates(service, avoided);
     path_query query;
@@ -241,7 +278,7 @@
         if (!path.m_hops.empty() && (best.m_hops.empty() || path.m_cost < best.m_cost))
             best = std::move(path);
     }
-    if (best.m_hops.empty())
+    if (best.m_hops.empty() && may_cross(service, std::chrono::steady_clock::now()))
     {
         query.m_domain.clear();
         best = fulmaryard::find_path(all, query);
@@ -249,8 +286,8 @@
     return best.m_hops;
 }
 
-found_path router_core::find_path_behind(
-    const routed_service& service, double tokens, const path_hop& first) const
+found_path
+router_core::find_path_behind(const routed_service& service, double tokens, const path_hop& first)
 {
     const auto all = candidates(service, {first.m_endpoint});
     path_query query;
@@ -260,7 +297,7 @@
     const auto* record = find_endpoint(first.m_endpoint);
     query.m_domain = record == nullptr ? "" : record->m_failure_domain;
     auto path = fulmaryard::find_path(all, query);
-    if (path.m_hops.empty())
+    if (path.m_hops.empty() && may_cross(service, std::chrono::steady_clock::now()))
     {
         query.m_domain.clear();
         path = fulmaryard::find_path(all, query);
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -3,6 +3,7 @@
 
 #include <fulmaryard/call_target.hpp>
 #include <fulmaryard/channel_pool.hpp>
+#include <fulmaryard/crossing_budget.hpp>
 #include <fulmaryard/endpoint_health.hpp>
 #include <fulmaryard/endpoint_membership.hpp>
 #include <fulmaryard/endpoint_protocol.hpp>
@@ -43,16 +44,19 @@
         const endpoint_protocol& protocol);
 
     /// Finds a path for `tokens` tokens on which the prompt is read after `longest_wait` at most:
-    /// in the failure domain where a token takes the least time, or else over several domains.
-    /// Empty when there is none. time that a token takes there, then over several domains. Empty
-    /// when there is none on which the prompt is read after `longest_wait` at most.
+    /// in the failure domain where a token takes the least time, or else over several domains
+    /// while the pipes between them have room. Empty when there is none.
     std::vector<path_hop> find_path(
         const routed_service& service, double tokens, std::chrono::milliseconds longest_wait,
-        const std::set<std::string>& avoided) const;
+        const std::set<std::string>& avoided);
 
     /// Finds a path that begins with `first`, which stays as it is. Empty when there is none.
     found_path
-    find_path_behind(const routed_service& service, double tokens, const path_hop& first) const;
+    find_path_behind(const routed_service& service, double tokens, const path_hop& first);
+
+    /// Counts what a request of `tokens` tokens over `path` sends between failure domains.
+    void count_crossings(
+        const routed_service& service, const std::vector<path_hop>& path, double tokens);
 
     /// Time of one token over the hops of `path` from `begin` on, milliseconds.
     double path_cost(
@@ -119,7 +123,12 @@
     std::vector<path_candidate>
     candidates(const routed_service& service, const std::set<std::string>& avoided) const;
 
+    /// Whether a path of the service may now lead over several failure domains.
+    bool may_cross(const routed_service& service, time_point now);
+    std::uint64_t routers() const;
+
     std::map<std::string, retry_budget> m_budgets;
+    std::map<std::string, crossing_budget> m_crossings; ///< By service.
     std::mt19937_64 m_random;
 };
 
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -169,7 +169,7 @@
         start_repath(session);
 }
 
-found_path router_streams::path_for(stream_session& session, const routed_service& service) const
+found_path router_streams::path_for(stream_session& session, const routed_service& service)
 {
     // What the stream holds now is free for its next path.
     m_core.m_room.release(session.path(), session.tokens());
--- a/src/router_streams.hpp
+++ b/src/router_streams.hpp
@@ -50,7 +50,7 @@
     void move_from_lost(stream_session& session, time_point now);
     void move_from_slow(stream_session& session, time_point now);
     void start_repath(stream_session& session);
-    found_path path_for(stream_session& session, const routed_service& service) const;
+    found_path path_for(stream_session& session, const routed_service& service);
 
     router_core& m_core;
     std::map<std::uint64_t, stream_session*> m_sessions;
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -51,6 +51,11 @@
 // Tokens of a usual event; those that were written are read again on another path.
 constexpr double tokens_per_event = 3;
 
+std::int64_t to_ms(steady::duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 std::size_t whole_events(std::string_view text)
 {
     std::size_t end = 0;
@@ -171,6 +176,7 @@
 {
     m_path = std::move(path);
     m_core.m_room.take(m_path, m_tokens, m_unread);
+    m_core.count_crossings(*service(), m_path, m_tokens);
 }
 
 bool stream_session::outlasts_router(const std::vector<path_hop>& path) const
@@ -370,6 +376,7 @@
         .with("attempt", m_tries)
         .with("path", describe(m_path))
         .with("tokens", m_tokens)
+        .with("token_ms", m_core.path_cost(*service(), m_path, 0))
         .with("after_event", m_last_event.value_or(0))
         .with("priority", m_accepted.m_priority)
         .with("version", m_table->version())
@@ -481,6 +488,11 @@
         if (!passed.empty() && !m_gone)
         {
             const auto now = steady::now();
+            if (m_responded)
+                m_longest_pause = std::max(m_longest_pause, now - m_last_event_passed);
+            else
+                m_first_event_after = now - m_accepted.m_arrival;
+            m_last_event_passed = now;
             m_last_progress = now;
             m_repaths = 0;
             note_read();
@@ -548,10 +560,7 @@
         .with("waiting", m_core.m_line.size())
         .with("returning", m_returning)
         .with("retry_after_ms", retry_after.count())
-        .with(
-            "held_ms",
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_accepted.m_arrival)
-                .count());
+        .with("held_ms", to_ms(now - m_accepted.m_arrival));
     auto response = m_core.m_protocol.refusal(m_accepted.m_call, 503, retry_after);
     m_responded = true;
     std::ignore = co_await m_exchange.respond(std::move(response));
@@ -585,10 +594,9 @@
         .with("attempts", m_tries)
         .with("first", m_last_first)
         .with("tokens", m_tokens)
-        .with(
-            "after_ms",
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_accepted.m_arrival)
-                .count());
+        .with("first_event_ms", to_ms(m_first_event_after))
+        .with("longest_pause_ms", to_ms(m_longest_pause))
+        .with("after_ms", to_ms(now - m_accepted.m_arrival));
 }
 
 } // namespace fulmaryard
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -100,6 +100,9 @@
     boost::asio::steady_timer m_turn;
     time_point m_last_progress;
     time_point m_sent;
+    time_point m_last_event_passed;                            ///< To the caller.
+    std::chrono::steady_clock::duration m_first_event_after{}; ///< Its arrival; 0 without one.
+    std::chrono::steady_clock::duration m_longest_pause{};     ///< Between two events.
     std::optional<std::uint64_t> m_last_event;
     std::uint64_t m_events{0};
     std::uint32_t m_sends{0};     ///< Attempts that an endpoint received.
