Pause endpoints that refuse again and again; count resends over a closed connection as retries

Change: endpoint_refusals, a pure module: the pause doubles with each try that is refused, up to 1.6 s, ends when the endpoint accepts, and is told to the other routers. The answer to a refused repath order names the endpoint in its body, which was not read.

--- a/include/fulmaryard/endpoint_protocol.hpp
+++ b/include/fulmaryard/endpoint_protocol.hpp
@@ -48,6 +48,10 @@
     virtual http_request
     write_repath(const std::string& call, const std::vector<path_hop>& path) const = 0;
 
+    /// Address of the endpoint for which such an order was refused; empty when the answer names
+    /// none.
+    virtual std::string read_repath_fault(const http_response& response) const = 0;
+
     /// A refusal that states when the caller may return.
     virtual http_response refusal(
         const routed_call& call, unsigned status, std::chrono::milliseconds retry_after) const = 0;
--- a/include/fulmaryard/retry_budget.hpp
+++ b/include/fulmaryard/retry_budget.hpp
@@ -23,6 +23,9 @@
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
+    /// Over which requests and retries are counted.
+    static constexpr std::chrono::seconds window{10};
+
     explicit retry_budget(retry_budget_settings settings = {}) : m_settings(settings) {}
 
     /// Replaces what is granted from now on.
@@ -43,7 +46,7 @@
 
     second& slot(time_point now);
 
-    static constexpr std::size_t window_seconds = 10;
+    static constexpr std::size_t window_seconds = window.count();
     retry_budget_settings m_settings;
     std::array<second, window_seconds> m_seconds;
 };
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -110,8 +110,10 @@
     const bool reused = m_channel != nullptr;
     bool stale = false;
     auto end = co_await exchange_once(reused, stale);
-    // A repeatable call on a kept-alive connection that proved closed goes over a new one.
-    if (stale && idempotent() && !m_gone && steady::now() < m_attempt_end)
+    // A repeatable call on a kept-alive connection that proved closed goes over a new one. It may
+    // have arrived all the same, so it counts as a retry.
+    if (stale && idempotent() && !m_gone && steady::now() < m_attempt_end &&
+        m_core.try_retry(m_accepted.m_service))
     {
         m_channel.reset();
         end = co_await exchange_once(false, stale);
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -31,9 +31,6 @@
 // Number of routers that share a budget while it is not known.
 constexpr std::uint64_t routers_assumed = 20;
 
-// An endpoint that refused gets no new request for this long: the lag of its report.
-constexpr std::chrono::milliseconds refusal_pause{200};
-
 } // namespace
 
 router_core::router_core(
@@ -105,11 +102,6 @@
         log_event(log_level::info, "endpoint_answers").with("endpoint", id);
 }
 
-void router_core::note_refusal(const std::string& id)
-{
-    m_refused_until[id] = std::chrono::steady_clock::now() + refusal_pause;
-}
-
 void router_core::count_request(const std::string& service)
 {
     m_budgets[service].on_request(std::chrono::steady_clock::now());
@@ -118,9 +110,13 @@
 bool router_core::try_retry(const std::string& service)
 {
     // Each router has an equal part of the slack that all share. One that does not know how many
-    // there are takes little.
+    // there are takes little, as does one that does not know what it took before it was restarted.
+    const double known = std::min(
+        1.0, std::chrono::duration<double>(std::chrono::steady_clock::now() - m_created) /
+                 retry_budget::window);
+    const auto slack = static_cast<double>(m_settings.m_retry_slack) * known;
     auto& budget = m_budgets[service];
-    budget.set({m_settings.m_retry_percent, m_settings.m_retry_slack / routers()});
+    budget.set({m_settings.m_retry_percent, static_cast<std::uint64_t>(slack) / routers()});
     const bool granted = budget.try_retry(std::chrono::steady_clock::now());
     m_metrics
         .counter(
@@ -227,8 +223,7 @@
     {
         if (record.m_service != service.m_name || avoided.contains(id) || !usable(record))
             continue;
-        const auto refused = m_refused_until.find(id);
-        if (refused != m_refused_until.end() && now < refused->second)
+        if (m_refusals.paused(id, now))
             continue;
         const auto* kind = engine.find_kind(record.m_accelerator);
         const auto layers = layers_of(record);
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -7,6 +7,7 @@
 #include <fulmaryard/endpoint_health.hpp>
 #include <fulmaryard/endpoint_membership.hpp>
 #include <fulmaryard/endpoint_protocol.hpp>
+#include <fulmaryard/endpoint_refusals.hpp>
 #include <fulmaryard/found_path.hpp>
 #include <fulmaryard/metrics.hpp>
 #include <fulmaryard/path_candidate.hpp>
@@ -84,9 +85,6 @@
     /// Notes the pace that an endpoint reported to this process, or to another router.
     void note_pace(const std::string& id, double pace, bool own);
 
-    /// Notes that an endpoint refused for lack of memory; it is left out for a moment.
-    void note_refusal(const std::string& id);
-
     /// Takes one retry of the budget for `service`.
     bool try_retry(const std::string& service);
     void count_request(const std::string& service);
@@ -103,6 +101,7 @@
     std::shared_ptr<const routing_table> m_table; ///< nullptr until a configuration is known.
     endpoint_membership m_membership;
     endpoint_health m_health;
+    endpoint_refusals m_refusals;
     request_room m_room;
     channel_pool m_channels;
     wait_line m_line;
@@ -111,8 +110,7 @@
     /// Of these, what this process found and tells other routers.
     std::map<std::string, std::pair<std::uint64_t, layer_range>> m_told_layers;
     std::map<std::string, std::int64_t> m_plain_calls; ///< In flight, by endpoint id.
-    std::map<std::string, time_point> m_refused_until;
-    std::function<void()> m_on_room; ///< Called when room may have become free.
+    std::function<void()> m_on_room;                   ///< Called when room may have become free.
     router_streams* m_streams{nullptr};
     std::uint64_t m_routers{0}; ///< That share the retry budget; 0 while it is not known.
 
@@ -127,6 +125,7 @@
     bool may_cross(const routed_service& service, time_point now);
     std::uint64_t routers() const;
 
+    const time_point m_created{std::chrono::steady_clock::now()};
     std::map<std::string, retry_budget> m_budgets;
     std::map<std::string, crossing_budget> m_crossings; ///< By service.
     std::mt19937_64 m_random;
--- a/src/router_gossip.cpp
+++ b/src/router_gossip.cpp
@@ -109,6 +109,10 @@
     json::array slow;
     for (const auto& [endpoint, pace] : m_core.m_health.slow(std::chrono::steady_clock::now()))
         slow.push_back(json::array{endpoint, pace});
+    json::array refusing;
+    for (const auto& [endpoint, left] :
+         m_core.m_refusals.repeated(std::chrono::steady_clock::now()))
+        refusing.push_back(json::array{endpoint, left.count()});
     json::array layers;
     for (const auto& [endpoint, reported] : m_core.m_told_layers)
     {
@@ -120,6 +124,7 @@
         {"use", std::move(use)},
         {"suspected", std::move(suspected)},
         {"slow", std::move(slow)},
+        {"refusing", std::move(refusing)},
         {"layers", std::move(layers)}});
 }
 
@@ -165,6 +170,12 @@
             const auto& pair = item.as_array();
             m_core.note_pace(pair.at(0).as_string().c_str(), pair.at(1).to_number<double>(), false);
         }
+        for (const auto& item : message.at("refusing").as_array())
+        {
+            const auto& pair = item.as_array();
+            const std::chrono::milliseconds left(pair.at(1).to_number<std::int64_t>());
+            m_core.m_refusals.on_peer_pause(pair.at(0).as_string().c_str(), now + left, now);
+        }
         for (const auto& item : message.at("layers").as_array())
         {
             const auto& entry = item.as_array();
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -257,17 +257,14 @@
         session->on_repath(std::move(path));
         co_return;
     }
-    const auto head = response.ok()
-                          ? m_core.m_protocol.read_answer(
-                                session->accepted().m_call, response->m_status, response->m_fields)
-                          : answer_head{};
-    if (const auto* at_fault = m_core.find_endpoint_at(head.m_at_fault))
-        m_core.note_refusal(at_fault->m_id);
+    const auto fault = response.ok() ? m_core.m_protocol.read_repath_fault(*response) : "";
+    if (const auto* at_fault = m_core.find_endpoint_at(fault))
+        m_core.m_refusals.on_refused(at_fault->m_id, steady::now());
     log_event(log_level::info, "repath_refused")
         .with("request", session->accepted().m_call.m_id)
         .with("status", response.ok() ? response->m_status : 0)
-        .with("by", head.m_at_fault)
-        .with("error", response.ok() ? response->m_body : message_of(response.status()));
+        .with("by", fault)
+        .with("error", response.ok() ? "" : message_of(response.status()));
     if (response.ok() && response->m_status == 404)
         session->abandon_attempt("its first endpoint does not know it");
 }
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -382,7 +382,8 @@
         .with("version", m_table->version())
         .with("time_left_ms", target.m_time_left.count());
     absl::StatusOr<http_response> response = http_response{};
-    // A kept-alive connection may prove closed; the call then goes over a new one.
+    // A kept-alive connection may prove closed; the call then goes over a new one. It may have
+    // arrived all the same, so it counts as a retry.
     for (bool reused = true;;)
     {
         if (const auto failed = co_await open_channel(reused))
@@ -392,7 +393,8 @@
             response = co_await m_channel->read_head(m_accepted.m_end);
         else
             response = status;
-        if (response.ok() || !reused || m_gone || m_abandoned)
+        if (response.ok() || !reused || m_gone || m_abandoned ||
+            !m_core.try_retry(m_accepted.m_service))
             break;
         reused = false;
     }
@@ -424,7 +426,7 @@
     {
         const auto* at_fault = m_core.find_endpoint_at(head.m_at_fault);
         const auto refused_by = at_fault != nullptr ? at_fault->m_id : first;
-        m_core.note_refusal(refused_by);
+        m_core.m_refusals.on_refused(refused_by, steady::now());
         // What continues a stream and was refused has run nowhere; the caller still waits for it.
         m_sends -= m_responded ? 1 : 0;
         log_event(log_level::info, "attempt_refused")
@@ -438,6 +440,8 @@
     }
     if (head.m_status < 200 || head.m_status >= 300 || !head.m_signed)
         co_return co_await relay_failure(std::move(head));
+    for (const auto& hop : m_path)
+        m_core.m_refusals.on_accepted(hop.m_endpoint);
     co_return co_await relay_events(std::move(head));
 }
 
--- a/tests/unit/wire_protocol_test.cpp
+++ b/tests/unit/wire_protocol_test.cpp
@@ -108,6 +108,18 @@
     }
 }
 
+TEST_CASE("a refused order to take another path")
+{
+    // Guards against a path that is asked for again and again over the endpoint that is not there.
+    const wire_protocol protocol;
+    const auto fault = [&](const char* body) {
+        return protocol.read_repath_fault({409, {}, body});
+    };
+    CHECK(fault(R"({"address":"10.0.0.1:80"})") == "10.0.0.1:80");
+    for (const auto* body : {"", "{}", "[]", R"({"address":7})", "{"})
+        CHECK(fault(body).empty());
+}
+
 TEST_CASE("a template of router settings")
 {
     // Guards against a deployment whose routers do not start.
