Leave a restarted router one retry

Cause: router_test, a repeatable call whose answer was lost was not sent again by a router that had just started: its slack grows from 0. Change: one retry is always left.

--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -110,13 +110,15 @@
 bool router_core::try_retry(const std::string& service)
 {
     // Each router has an equal part of the slack that all share. One that does not know how many
-    // there are takes little, as does one that does not know what it took before it was restarted.
+    // there are takes little, as does one that does not know what it took before it was restarted;
+    // but one retry is always left to it.
     const double known = std::min(
         1.0, std::chrono::duration<double>(std::chrono::steady_clock::now() - m_created) /
                  retry_budget::window);
-    const auto slack = static_cast<double>(m_settings.m_retry_slack) * known;
+    const double slack = m_settings.m_retry_slack * known / static_cast<double>(routers());
+    const std::uint64_t least = m_settings.m_retry_slack > 0 ? 1 : 0;
     auto& budget = m_budgets[service];
-    budget.set({m_settings.m_retry_percent, static_cast<std::uint64_t>(slack) / routers()});
+    budget.set({m_settings.m_retry_percent, std::max(least, static_cast<std::uint64_t>(slack))});
     const bool granted = budget.try_retry(std::chrono::steady_clock::now());
     m_metrics
         .counter(
