Look into silent streams earlier and tell other routers of a lost endpoint at once

Change: a stream is looked into after three of its usual pauses, 60 ms at least; a new suspicion is told within a tick of 25 ms; with more than 6 routers each asks an endpoint less often.

--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -93,6 +93,8 @@
             .with("endpoint", id)
             .with("address", record->m_address)
             .with("reason", reason);
+        if (m_on_suspect)
+            m_on_suspect();
     }
 }
 
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -111,6 +111,7 @@
     std::map<std::string, std::pair<std::uint64_t, layer_range>> m_told_layers;
     std::map<std::string, std::int64_t> m_plain_calls; ///< In flight, by endpoint id.
     std::function<void()> m_on_room;                   ///< Called when room may have become free.
+    std::function<void()> m_on_suspect; ///< Called when an endpoint is newly found not to answer.
     router_streams* m_streams{nullptr};
     std::uint64_t m_routers{0}; ///< That share the retry budget; 0 while it is not known.
 
--- a/src/router_gossip.hpp
+++ b/src/router_gossip.hpp
@@ -26,7 +26,10 @@
     /// Replaces the addresses that are told.
     void set_routers(const std::vector<std::string>& addresses);
 
-    /// Sends when it is time to; call it every 50 ms or so.
+    /// Lets the next tick send: something was found that others should know at once.
+    void hurry() { m_next = {}; }
+
+    /// Sends when it is time to; call it every 25 ms or so.
     void on_tick(std::chrono::steady_clock::time_point now);
 
 private:
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -38,7 +38,8 @@
 
 using steady = std::chrono::steady_clock;
 
-constexpr std::chrono::milliseconds tick_interval{50};
+// A part of the time in which a new path has to be found when an endpoint is lost.
+constexpr std::chrono::milliseconds tick_interval{25};
 
 // Longest time that a caller may take and keep a connection idle; callers are told no figure, so
 // this lies above any that operators set.
@@ -99,6 +100,7 @@
     {
         m_core.m_streams = &m_streams;
         m_core.m_on_room = [this] { m_streams.on_room(); };
+        m_core.m_on_suspect = [this] { m_gossip.hurry(); };
     }
 
     absl::Status run()
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -30,6 +30,11 @@
 // A stream without an event for this long is looked into, before the pause counts as late.
 constexpr std::chrono::milliseconds pause_checked{120};
 
+// One whose events usually follow faster is looked into earlier: after this many usual pauses, but
+// not before the shorter time, in which a new path can still be found within 200 ms.
+constexpr int usual_pauses_checked = 3;
+constexpr std::chrono::milliseconds shortest_pause_checked{60};
+
 // A stream leaves a slow endpoint for a path on which a token takes this part of the time.
 constexpr double worthwhile_cost = 0.6;
 
@@ -37,8 +42,10 @@
 // silence; callers leave after two seconds.
 constexpr std::chrono::milliseconds stall_unexplained{1'300};
 
-// Between two questions to the same endpoint: the lag of its report.
+// Between two questions to the same endpoint: the lag of its report. Routers tell each other what
+// they find, so that each of many asks less often.
 constexpr std::chrono::milliseconds ask_interval{300};
+constexpr std::uint64_t routers_at_full_rate = 6;
 
 // For a report or an order to be answered: several round trips.
 constexpr std::chrono::milliseconds answer_deadline{400};
@@ -54,6 +61,19 @@
 
 } // namespace
 
+namespace
+{
+
+std::chrono::steady_clock::duration longest_unchecked(const stream_session& session)
+{
+    if (session.usual_pause() == steady::duration::zero())
+        return pause_checked;
+    return std::clamp<steady::duration>(
+        session.usual_pause() * usual_pauses_checked, shortest_pause_checked, pause_checked);
+}
+
+} // namespace
+
 std::uint64_t router_streams::add(stream_session& session)
 {
     m_sessions[++m_next_id] = &session;
@@ -107,7 +127,7 @@
         const auto silent = now - session.last_progress();
         if (silent > stall_unexplained && !session.m_repath_pending)
             session.abandon_attempt("no event");
-        else if (silent > pause_checked)
+        else if (silent > longest_unchecked(session))
         {
             for (const auto& hop : session.path())
                 check(hop.m_endpoint, now);
@@ -183,7 +203,8 @@
     if (m_core.lost(endpoint))
         return; // Asked until it answers.
     auto& asked = m_asked[endpoint];
-    if (now - asked < ask_interval)
+    if (now - asked <
+        ask_interval * std::max<std::uint64_t>(1, m_core.m_routers / routers_at_full_rate))
         return;
     asked = now;
     asio::co_spawn(m_core.m_io, ask(endpoint), asio::detached);
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -48,6 +48,10 @@
 // An answer at the deadline still has to reach the caller.
 constexpr std::chrono::milliseconds end_margin{30};
 
+// Weight of the past in the mean of the pauses between events: a path's pace changes with its load
+// over about as many events.
+constexpr int pauses_averaged = 8;
+
 // Tokens of a usual event; those that were written are read again on another path.
 constexpr double tokens_per_event = 3;
 
@@ -204,6 +208,14 @@
            static_cast<double>(m_events) * tokens_per_event;
 }
 
+void stream_session::note_pause(std::chrono::steady_clock::duration pause)
+{
+    m_longest_pause = std::max(m_longest_pause, pause);
+    m_usual_pause = m_usual_pause == steady::duration::zero()
+                        ? pause
+                        : m_usual_pause + (pause - m_usual_pause) / pauses_averaged;
+}
+
 void stream_session::note_read()
 {
     m_core.m_room.on_read(m_path, m_unread);
@@ -493,7 +505,7 @@
         {
             const auto now = steady::now();
             if (m_responded)
-                m_longest_pause = std::max(m_longest_pause, now - m_last_event_passed);
+                note_pause(now - m_last_event_passed);
             else
                 m_first_event_after = now - m_accepted.m_arrival;
             m_last_event_passed = now;
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -41,6 +41,8 @@
     double tokens() const { return m_tokens; }
     time_point last_progress() const { return m_last_progress; }
     time_point sent() const { return m_sent; }
+    /// Mean of the last pauses between events; 0 before the second event.
+    std::chrono::steady_clock::duration usual_pause() const { return m_usual_pause; }
     bool running() const { return m_channel != nullptr; }
 
     /// Wakes the session if it waits for room.
@@ -81,6 +83,7 @@
     bool outlasts_router(const std::vector<path_hop>& path) const;
     double unread_tokens() const;
     void note_read();
+    void note_pause(std::chrono::steady_clock::duration pause);
     const routed_service* service() const;
     void log_broken(std::string_view reason);
     void log_end(std::string_view outcome, std::string_view reason);
@@ -103,6 +106,7 @@
     time_point m_last_event_passed;                            ///< To the caller.
     std::chrono::steady_clock::duration m_first_event_after{}; ///< Its arrival; 0 without one.
     std::chrono::steady_clock::duration m_longest_pause{};     ///< Between two events.
+    std::chrono::steady_clock::duration m_usual_pause{};
     std::optional<std::uint64_t> m_last_event;
     std::uint64_t m_events{0};
     std::uint32_t m_sends{0};     ///< Attempts that an endpoint received.
