Spread streams that move over endpoints by what these still have to read

Change: a path's cost counts the wait until its endpoints have read what was sent before, and their own reading; a repath order holds room until its answer, and what moves is counted as unread there. Refused repaths are 50 ms apart; a look that finds no path counts as one. Tests: path_finder_test "leads around an endpoint that still reads what others sent".

--- a/include/fulmaryard/path_candidate.hpp
+++ b/include/fulmaryard/path_candidate.hpp
@@ -19,6 +19,7 @@
     layer_range m_layers;
     double m_free_memory{0};  ///< Tokens times layers that it can still take.
     double m_read_wait{0};    ///< Until prompts sent before have been read, milliseconds.
+    double m_read_cost{0};    ///< Time in which one layer reads one token, milliseconds.
     double m_layer_cost{1};   ///< Time of one layer in one decode step, milliseconds.
     std::int64_t m_places{0}; ///< Requests that it can still take as the first of a path.
 
--- a/src/path_finder.cpp
+++ b/src/path_finder.cpp
@@ -106,7 +106,10 @@
                 if (candidate.m_free_memory < layers * m_query.m_tokens)
                     break;
                 partial_path part;
-                part.m_cost = before->m_cost + layers * candidate.m_layer_cost + hop_cost;
+                part.m_cost =
+                    before->m_cost + layers * candidate.m_layer_cost + hop_cost +
+                    m_query.m_read_weight *
+                        (candidate.m_read_wait + layers * m_query.m_unread * candidate.m_read_cost);
                 part.m_candidate = next;
                 part.m_from = from;
                 part.m_previous = before->m_candidate;
--- a/src/request_room.cpp
+++ b/src/request_room.cpp
@@ -21,10 +21,16 @@
     {
         auto& use = m_own[path[i].m_endpoint];
         use.m_memory += tokens * layers_of(path[i]);
-        use.m_unread += unread * layers_of(path[i]);
         use.m_firsts += i == 0 ? 1 : 0;
         ++use.m_parts;
     }
+    begin_read(path, unread);
+}
+
+void request_room::begin_read(const std::vector<path_hop>& path, double unread)
+{
+    for (const auto& hop : path)
+        m_own[hop.m_endpoint].m_unread += unread * layers_of(hop);
 }
 
 void request_room::on_read(const std::vector<path_hop>& path, double unread)
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -247,7 +247,10 @@
                                    kind->m_read_factor / std::max(m_health.pace(id, now), 1.0) /
                                    1e3;
         if (read_per_ms > 0)
+        {
             candidate.m_read_wait = use.m_unread / (read_per_ms * reading_share);
+            candidate.m_read_cost = 1 / read_per_ms;
+        }
         candidate.m_layer_cost = layer_cost(engine, *kind, id, now);
         candidate.m_places = static_cast<std::int64_t>(engine.m_batch_places) - use.m_firsts;
         result.push_back(std::move(candidate));
@@ -256,14 +259,15 @@
 }
 
 std::vector<path_hop> router_core::find_path(
-    const routed_service& service, double tokens, std::chrono::milliseconds longest_wait,
-    const std::set<std::string>& avoided)
+    const routed_service& service, double tokens, double unread,
+    std::chrono::milliseconds longest_wait, const std::set<std::string>& avoided)
 {
     const auto all = candidates(service, avoided);
     path_query query;
     query.m_longest_wait = static_cast<double>(longest_wait.count());
     query.m_layers = service.m_engine->m_layers;
     query.m_tokens = tokens;
+    query.m_unread = unread;
     std::set<std::string> domains;
     for (const auto& candidate : all)
         domains.insert(candidate.m_failure_domain);
@@ -285,14 +289,15 @@
     return best.m_hops;
 }
 
-found_path
-router_core::find_path_behind(const routed_service& service, double tokens, const path_hop& first)
+found_path router_core::find_path_behind(
+    const routed_service& service, double tokens, double unread, const path_hop& first)
 {
     const auto all = candidates(service, {first.m_endpoint});
     path_query query;
     query.m_begin = first.m_layers.m_end;
     query.m_layers = service.m_engine->m_layers;
     query.m_tokens = tokens;
+    query.m_unread = unread;
     const auto* record = find_endpoint(first.m_endpoint);
     query.m_domain = record == nullptr ? "" : record->m_failure_domain;
     auto path = fulmaryard::find_path(all, query);
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -44,16 +44,17 @@
         boost::asio::io_context& io, const router_settings& settings,
         const endpoint_protocol& protocol);
 
-    /// Finds a path for `tokens` tokens on which the prompt is read after `longest_wait` at most:
-    /// in the failure domain where a token takes the least time, or else over several domains
-    /// while the pipes between them have room. Empty when there is none.
+    /// Finds a path for `tokens` tokens, `unread` of which are read first, on which the prompt is
+    /// read after `longest_wait` at most: in the failure domain where a token takes the least time,
+    /// or else over several domains while the pipes between them have room. Empty when there is
+    /// none.
     std::vector<path_hop> find_path(
-        const routed_service& service, double tokens, std::chrono::milliseconds longest_wait,
-        const std::set<std::string>& avoided);
+        const routed_service& service, double tokens, double unread,
+        std::chrono::milliseconds longest_wait, const std::set<std::string>& avoided);
 
     /// Finds a path that begins with `first`, which stays as it is. Empty when there is none.
-    found_path
-    find_path_behind(const routed_service& service, double tokens, const path_hop& first);
+    found_path find_path_behind(
+        const routed_service& service, double tokens, double unread, const path_hop& first);
 
     /// Counts what a request of `tokens` tokens over `path` sends between failure domains.
     void count_crossings(
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -53,6 +53,9 @@
 // Orders to take another path that one stall is worth; then the stream starts elsewhere.
 constexpr int max_repaths = 3;
 
+// After an order that was refused, or a look for a path that found none: room becomes free.
+constexpr std::chrono::milliseconds repath_pause{50};
+
 // Between two looks for a faster path for one stream.
 constexpr std::chrono::milliseconds move_interval{250};
 
@@ -161,7 +164,8 @@
             session.abandon_attempt("no other path accepted");
         return;
     }
-    start_repath(session);
+    if (now >= session.m_next_repath)
+        start_repath(session);
 }
 
 void router_streams::start_repath(stream_session& session)
@@ -193,7 +197,8 @@
 {
     // What the stream holds now is free for its next path.
     m_core.m_room.release(session.path(), session.tokens());
-    auto path = m_core.find_path_behind(service, session.tokens(), session.path().front());
+    auto path = m_core.find_path_behind(
+        service, session.tokens(), session.context_tokens(), session.path().front());
     m_core.m_room.take(session.path(), session.tokens());
     return path;
 }
@@ -261,17 +266,25 @@
     if (path.empty())
     {
         session->m_repath_pending = false;
+        ++session->m_repaths;
+        session->m_next_repath = steady::now() + repath_pause;
         co_return;
     }
+    // Held until the answer, so that streams that move at the same time spread.
+    const double tokens = session->tokens();
+    const double unread = session->context_tokens();
+    m_core.m_room.take(path, tokens, unread);
     http_request order = m_core.m_protocol.write_repath(session->accepted().m_call.m_id, path);
     m_core.m_metrics.counter("fulmaryard_router_repath_orders_total").add();
     const auto response = co_await call_endpoint(
         m_core.m_channels, first.m_address, std::move(order), answer_deadline);
+    m_core.m_room.release(path, tokens, unread);
     session = find();
     if (session == nullptr)
         co_return;
     session->m_repath_pending = false;
     ++session->m_repaths;
+    session->m_next_repath = steady::now() + repath_pause;
     const bool accepted = response.ok() && response->m_status >= 200 && response->m_status < 300;
     if (accepted && session->running() && !session->path().empty())
     {
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <tuple>
 #include <utility>
@@ -170,16 +171,24 @@
         .with("request", m_accepted.m_call.m_id)
         .with("path", describe(path))
         .with("events", m_events);
+    std::vector<path_hop> added;
+    for (const auto& hop : path)
+    {
+        if (std::find(m_path.begin(), m_path.end(), hop) == m_path.end())
+            added.push_back(hop);
+    }
     release_path();
-    m_unread = 0;
-    set_path(std::move(path));
+    set_path(std::move(path), std::move(added));
     m_last_progress = steady::now();
 }
 
-void stream_session::set_path(std::vector<path_hop> path)
+void stream_session::set_path(std::vector<path_hop> path, std::vector<path_hop> reading)
 {
     m_path = std::move(path);
-    m_core.m_room.take(m_path, m_tokens, m_unread);
+    m_reading = std::move(reading);
+    m_unread = context_tokens();
+    m_core.m_room.take(m_path, m_tokens);
+    m_core.m_room.begin_read(m_reading, m_unread);
     m_core.count_crossings(*service(), m_path, m_tokens);
 }
 
@@ -202,7 +211,7 @@
     return m_accepted.m_route.m_objective / objective_share_for_waiting;
 }
 
-double stream_session::unread_tokens() const
+double stream_session::context_tokens() const
 {
     return static_cast<double>(m_accepted.m_call.m_prompt_tokens) +
            static_cast<double>(m_events) * tokens_per_event;
@@ -218,15 +227,16 @@
 
 void stream_session::note_read()
 {
-    m_core.m_room.on_read(m_path, m_unread);
-    m_unread = 0;
+    m_core.m_room.on_read(m_reading, m_unread);
+    m_reading.clear();
 }
 
 void stream_session::release_path()
 {
     if (m_path.empty())
         return;
-    m_core.m_room.release(m_path, m_tokens, m_unread);
+    note_read();
+    m_core.m_room.release(m_path, m_tokens);
     m_path.clear();
     m_core.m_line.on_released(m_tokens, steady::now());
     m_core.m_on_room();
@@ -305,13 +315,13 @@
         std::min(start + patience, m_accepted.m_end - end_margin)};
     if (m_core.m_line.empty() || !fresh)
     {
-        auto path = m_core.find_path(*service(), m_tokens, longest_read_wait(), m_avoided);
+        auto path = m_core.find_path(
+            *service(), m_tokens, context_tokens(), longest_read_wait(), m_avoided);
         if (!path.empty() && outlasts_router(path))
             co_return false;
         if (!path.empty())
         {
-            m_unread = unread_tokens();
-            set_path(std::move(path));
+            set_path(path, path);
             co_return true;
         }
     }
@@ -333,12 +343,12 @@
         co_await m_turn.async_wait(use_tuple);
         if (m_gone || m_core.m_line.next() != m_id)
             continue;
-        auto path = m_core.find_path(*service(), m_tokens, longest_read_wait(), m_avoided);
+        auto path = m_core.find_path(
+            *service(), m_tokens, context_tokens(), longest_read_wait(), m_avoided);
         if (path.empty())
             continue;
         m_core.m_line.remove(m_id);
-        m_unread = unread_tokens();
-        set_path(std::move(path));
+        set_path(path, path);
         m_core.m_on_room(); // The next in line may fit too.
         co_return true;
     }
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -39,6 +39,8 @@
     const accepted_call& accepted() const { return m_accepted; }
     const std::vector<path_hop>& path() const { return m_path; }
     double tokens() const { return m_tokens; }
+    /// Tokens of the prompt and of what was written so far.
+    double context_tokens() const;
     time_point last_progress() const { return m_last_progress; }
     time_point sent() const { return m_sent; }
     /// Mean of the last pauses between events; 0 before the second event.
@@ -56,7 +58,8 @@
 
     int m_repaths{0};              ///< Orders to take another path since the last progress.
     bool m_repath_pending{false};  ///< Such an order is under way.
-    time_point m_no_repath_before; ///< For a faster path; one for a lost endpoint is not put off.
+    time_point m_next_repath;      ///< Earliest next order when an endpoint is lost.
+    time_point m_no_repath_before; ///< Likewise for a faster path.
 
 private:
     enum class attempt_end
@@ -76,12 +79,12 @@
     boost::asio::awaitable<void> refuse(std::string_view reason);
     boost::asio::awaitable<void> give_up(std::string_view reason);
     bool may_try_again(attempt_end end);
-    void set_path(std::vector<path_hop> path);
+    /// Takes `path`, of which the endpoints of `reading` have to read what there is so far.
+    void set_path(std::vector<path_hop> path, std::vector<path_hop> reading);
     void release_path();
     std::chrono::milliseconds longest_read_wait() const;
     /// Whether the stream may not have ended when its router does.
     bool outlasts_router(const std::vector<path_hop>& path) const;
-    double unread_tokens() const;
     void note_read();
     void note_pause(std::chrono::steady_clock::duration pause);
     const routed_service* service() const;
@@ -94,8 +97,9 @@
     std::shared_ptr<const routing_table> m_table;
     std::uint64_t m_id;
     double m_tokens{0};
-    double m_unread{0}; ///< Tokens that the path's endpoints still have to read.
     std::vector<path_hop> m_path;
+    std::vector<path_hop> m_reading; ///< Endpoints of the path that still have to read.
+    double m_unread{0};              ///< Tokens that each of them has to read.
     std::set<std::string>
         m_avoided;            ///< First endpoints that this stream will not be sent to again.
     std::string m_last_first; ///< First endpoint of the last attempt.
--- a/tests/unit/path_finder_test.cpp
+++ b/tests/unit/path_finder_test.cpp
@@ -66,6 +66,21 @@
         make_candidate("first", {0, 30}), make_candidate("second", {30, 60}),
         make_candidate("third", {60, 80})};
 
+    SUBCASE("leads around an endpoint that still reads what others sent")
+    {
+        // Streams of a lost endpoint that all move to the same one pause until it has read them.
+        candidates[1].m_read_wait = 300;
+        auto other = make_candidate("other", {30, 60});
+        other.m_layer_cost = 1.3;
+        candidates.push_back(other);
+        CHECK(
+            names(find_path(candidates, make_query())) ==
+            std::vector<std::string>{"first", "other", "third"});
+        candidates[1].m_read_wait = 30;
+        CHECK(
+            names(find_path(candidates, make_query())) ==
+            std::vector<std::string>{"first", "second", "third"});
+    }
     SUBCASE("goes over one copy in order")
     {
         const auto path = find_path(candidates, make_query());
