Do not send on requests of callers that have left; let streams leave layers that are given up

Change: these streams take another path; giving up the first layer, which a stream cannot leave, costs more when a gap is closed.

--- a/include/fulmaryard/http_exchange.hpp
+++ b/include/fulmaryard/http_exchange.hpp
@@ -63,6 +63,9 @@
     /// Calls `on_gone` once on `executor()` if the client closes its connection, or its sending
     /// side of it, before the exchange ends.
     virtual void watch_client(std::function<void()> on_gone) = 0;
+
+    /// Whether the client has closed its connection already, before a watch could notice.
+    virtual bool client_has_left() { return false; }
 };
 
 } // namespace fulmaryard
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -140,6 +140,12 @@
         wait_for_end(m_watch, m_stream.socket());
     }
 
+    bool client_has_left() override
+    {
+        const auto error = peek(m_stream.socket());
+        return error && error != asio::error::would_block;
+    }
+
     bool usable() const { return m_usable; }
 
     /// Whether the response let the connection go on.
@@ -162,6 +168,19 @@
         std::function<void()> m_on_gone;
     };
 
+    /// Looks for data or the end of the client's sending side without taking anything.
+    static beast::error_code peek(asio::ip::tcp::socket& socket)
+    {
+        char byte = 0;
+        beast::error_code error;
+        // A synchronous receive on a socket in blocking mode waits for data, and with it the thread
+        // and everything that the thread had posted.
+        socket.non_blocking(true, error);
+        if (!error)
+            socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return error;
+    }
+
     static void
     wait_for_end(const std::shared_ptr<client_watch>& watch, asio::ip::tcp::socket& socket)
     {
@@ -174,17 +193,7 @@
             {
                 if (!watch->m_active)
                     return;
-                char byte = 0;
-                beast::error_code peek_error = error;
-                // A synchronous receive on a socket in blocking mode waits for data, and with it
-                // the thread and everything that the thread had posted.
-                if (!peek_error)
-                    socket.non_blocking(true, peek_error);
-                if (!peek_error)
-                {
-                    socket.receive(
-                        asio::buffer(&byte, 1), asio::socket_base::message_peek, peek_error);
-                }
+                const auto peek_error = error ? error : peek(socket);
                 if (peek_error == asio::error::would_block)
                     wait_for_end(watch, socket);
                 else if (peek_error)
--- a/src/layer_cover.cpp
+++ b/src/layer_cover.cpp
@@ -8,8 +8,10 @@
 namespace
 {
 
-// A layer given up accepts nothing while it is being given up, but needs no load.
-constexpr double cost_of_giving_up = 0.5;
+// An order waits until nothing passes through a layer that is given up. What passes there takes
+// another path, but a request that began at the first layer cannot leave its endpoint.
+constexpr double cost_of_giving_up = 1;
+constexpr double cost_of_giving_up_first = 10;
 
 // Each layer in place of usual room for requests costs as much as half a load.
 constexpr double cost_of_room = 0.5;
@@ -55,8 +57,9 @@
         return 0;
     const auto kept = shared(range, one.m_held);
     const double crowded = size(range) > one.m_unhurried ? size(range) - one.m_unhurried : 0;
+    const bool first = one.m_held.m_begin == 0 && (range.m_begin > 0 || kept == 0);
     return cost_of_change + (size(range) - kept) + cost_of_giving_up * (size(one.m_held) - kept) +
-           cost_of_room * crowded;
+           (first ? cost_of_giving_up_first : 0) + cost_of_room * crowded;
 }
 
 bool layer_cover::uses(std::uint32_t end, std::size_t last, std::size_t index) const
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -60,6 +60,9 @@
             if (m_channel != nullptr)
                 m_channel->close();
         });
+    // A router that was paused or has just started reads requests of callers that have left.
+    if (m_exchange.client_has_left())
+        co_return;
     // The route's time-out bounds how long the call may last.
     if (m_accepted.m_end > m_accepted.m_router_end)
         co_return co_await finish(attempt_end::not_run);
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -154,7 +154,11 @@
         [this](const path_hop& hop)
         {
             const auto* record = m_core.find_endpoint(hop.m_endpoint);
-            return record == nullptr || !m_core.usable(*record);
+            if (record == nullptr || !m_core.usable(*record))
+                return true;
+            // Layers that are given up can be replaced only once nothing passes through them.
+            const auto held = m_core.layers_of(*record);
+            return hop.m_layers.m_begin < held.m_begin || held.m_end < hop.m_layers.m_end;
         });
     if (!part_lost)
         return;
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -258,6 +258,8 @@
     for (;;)
     {
         const bool placed = co_await find_room();
+        // A router that was paused or has just started reads requests of callers that have left.
+        m_gone = m_gone || m_exchange.client_has_left();
         if (m_gone)
             co_return log_end("caller_left", "before it was sent");
         if (!placed)
--- a/tests/process/router_test.cpp
+++ b/tests/process/router_test.cpp
@@ -1,5 +1,6 @@
 #include "process/child_process.hpp"
 #include "process/event_stream.hpp"
+#include "process/raw_connection.hpp"
 #include "process/reserved_port.hpp"
 #include "process/temporary_directory.hpp"
 #include "process/test_client.hpp"
@@ -266,6 +267,34 @@
         500ms));
 }
 
+TEST_CASE("requests of callers that left before they were read")
+{
+    // Guards against a router that was paused, or has just started, and sends on what nobody waits
+    // for any more.
+    router_system system;
+    system.start_router("router-1");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    system.process("router-1").kill(SIGSTOP);
+    std::vector<std::string> ids;
+    for (int i = 0; i < 20; ++i)
+    {
+        ids.push_back(fmt::format("left-{}", i));
+        raw_connection connection(system.address("router-1"));
+        connection.send(fmt::format(
+            "{} HTTP/1.1\r\nHost: 127.0.0.1\r\nFulmaryard-Attempt-Id: {}\r\n"
+            "Fulmaryard-Deadline-Ms: 8000\r\nFulmaryard-Token-Usage: 10,100\r\n"
+            "Authorization: Bearer secret\r\nContent-Length: 0\r\n\r\n",
+            i % 2 == 0 ? "POST /chat/1" : "GET /look/1", ids.back()));
+    }
+    system.process("router-1").kill(SIGCONT);
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    for (const auto& id : ids)
+    {
+        CAPTURE(id);
+        CHECK(system.runs(id) == 0);
+    }
+}
+
 TEST_CASE("calls to a plain service")
 {
     // Guards against a call that runs twice, a refusal of one that ran, and a call without account.
