--- a/include/fulmaryard/path_query.hpp
+++ b/include/fulmaryard/path_query.hpp
@@ -15,7 +15,7 @@
     std::uint32_t m_layers{0};  ///< End of the path's layers, exclusive.
     double m_tokens{0};         ///< That the request will hold at its end.
     double m_unread{0};         ///< Tokens that each endpoint of the path reads first.
-    double m_read_weight{0.1};  ///< Of a millisecond of reading against one of a token's time.
+    double m_read_weight{0.03}; ///< Of a millisecond of reading against one of a token's time.
     double m_longest_wait{1e9}; ///< At an endpoint before its reading begins, milliseconds.
     std::string m_domain;       ///< Only endpoints of this failure domain; empty: any, at a price.
     double m_crossing_cost{40}; ///< Of one hop to another failure domain, milliseconds.
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -24,6 +24,10 @@
 // then cross between domains, which costs bandwidth.
 constexpr double foreign_domain_ms = 6;
 
+// A stream that moves pauses while its next endpoints read: a millisecond of that weighs as much as
+// this part of a millisecond more for each token that is left.
+constexpr double repath_read_weight = 0.1;
+
 // Part of the pipe between failure domains that new paths may fill. Transfers wait for each other,
 // so that streams would pause for long well before it is full.
 constexpr double pipe_share = 0.4;
@@ -298,6 +302,7 @@
     query.m_layers = service.m_engine->m_layers;
     query.m_tokens = tokens;
     query.m_unread = unread;
+    query.m_read_weight = repath_read_weight;
     const auto* record = find_endpoint(first.m_endpoint);
     query.m_domain = record == nullptr ? "" : record->m_failure_domain;
     auto path = fulmaryard::find_path(all, query);
