--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -72,7 +72,7 @@
         if (m_endpoint.empty() && !m_avoided.empty())
             m_endpoint = m_core.choose_endpoint(m_accepted.m_service, {});
         if (m_endpoint.empty())
-            co_return co_await finish(attempt_end::not_run);
+            co_return co_await finish(m_may_have_run ? attempt_end::unknown : attempt_end::not_run);
         ++m_core.m_plain_calls[m_endpoint];
         const auto end = co_await attempt();
         if (--m_core.m_plain_calls[m_endpoint] == 0)
@@ -81,8 +81,13 @@
         m_avoided.insert(m_endpoint);
         if (m_gone)
             break;
+        m_may_have_run = m_may_have_run || end != attempt_end::not_run;
         if (end == attempt_end::answered || !may_try_again(end))
-            co_return co_await finish(end);
+        {
+            // A refusal states that nothing ran.
+            const bool ran = end == attempt_end::not_run && m_may_have_run;
+            co_return co_await finish(ran ? attempt_end::unknown : end);
+        }
     }
 }
 
--- a/src/plain_session.hpp
+++ b/src/plain_session.hpp
@@ -56,6 +56,7 @@
     accepted_call::time_point m_attempt_end;
     std::uint32_t m_sends{0};
     std::uint32_t m_tries{0};
+    bool m_may_have_run{false}; ///< An attempt was sent and not proved not run.
     bool m_gone{false};
 };
 
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -264,11 +264,12 @@
             co_return log_end("caller_left", "before it was sent");
         if (!placed)
         {
-            if (m_responded)
+            if (m_may_have_run)
                 co_return co_await give_up("no path for the rest of the stream");
             co_return co_await refuse("no room");
         }
         const auto end = co_await attempt();
+        m_may_have_run = m_may_have_run || end == attempt_end::broken;
         m_channel.reset();
         release_path();
         if (m_gone)
@@ -279,7 +280,8 @@
             co_return log_end("failed_by_endpoint", "");
         if (may_try_again(end))
             continue;
-        if (!m_responded && end != attempt_end::broken)
+        // A refusal states that nothing ran.
+        if (!m_may_have_run)
             co_return co_await refuse("refused by its endpoints");
         co_return co_await give_up("broken off");
     }
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -120,6 +120,7 @@
     bool m_abandoned{false};
     bool m_returning{false};
     bool m_responded{false};
+    bool m_may_have_run{false}; ///< An attempt was sent and not proved not run.
 };
 
 } // namespace fulmaryard
--- a/tests/process/router_test.cpp
+++ b/tests/process/router_test.cpp
@@ -14,6 +14,7 @@
 #include <fmt/core.h>
 
 #include <csignal>
+#include <future>
 #include <map>
 #include <memory>
 #include <thread>
@@ -267,6 +268,42 @@
         500ms));
 }
 
+TEST_CASE("a refusal of a request that has run")
+{
+    // Guards against an answer that says "not run" about a request of which an earlier attempt ran.
+    router_system system;
+    system.start_router("router-1");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+
+    SUBCASE("is no refusal when a stream's endpoint is lost before its first event")
+    {
+        system.control({{"pause_all_ms", 5000}});
+        auto answer = std::async(
+            std::launch::async,
+            [&]
+            {
+                return test_client(system.address("router-1"))
+                    .send(router_system::make_request("POST", "/chat/1", "ran-1"));
+            });
+        REQUIRE(wait_until([&] { return system.runs("ran-1") == 1; }));
+        system.control(
+            {{"kill", endpoint_of(system.process("router-1"), "ran-1", 0)}, {"full", true}});
+        const auto response = answer.get();
+        REQUIRE(response.ok());
+        CHECK(response->m_status == 502);
+        CHECK(system.runs("ran-1") == 1);
+    }
+    SUBCASE("is no refusal when the answer of a repeatable call was lost")
+    {
+        system.control({{"lose_answers", true}, {"full_after_runs", 1}});
+        const auto response = test_client(system.address("router-1"))
+                                  .send(router_system::make_request("GET", "/look/1", "ran-2"));
+        REQUIRE(response.ok());
+        CHECK(response->m_status == 502);
+        CHECK(system.runs("ran-2") == 1);
+    }
+}
+
 TEST_CASE("requests of callers that left before they were read")
 {
     // Guards against a router that was paused, or has just started, and sends on what nobody waits
--- a/tests/standins/pipeline_main.cpp
+++ b/tests/standins/pipeline_main.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
+#include <boost/json/value_to.hpp>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
@@ -35,6 +37,8 @@
 constexpr auto event_interval = 15ms;
 constexpr auto load_time_per_layer = 10ms;
 constexpr auto stall_limit = 3s;
+// Routers have this long to stop sending to an endpoint that leaves.
+constexpr auto leaving_limit = 2s;
 constexpr std::size_t journal_limit = 100'000;
 
 std::uint64_t unix_ms()
@@ -82,12 +86,20 @@
 
     asio::awaitable<http_response> answer(const http_request& request);
 
+    /// Forgets past changes; watches from before are told so.
+    void drop_history()
+    {
+        m_changes.clear();
+        m_first_known = m_revision;
+    }
+
 private:
     http_response write(const http_request& request, const std::string& kind, std::string name);
     http_response list(const std::string& kind);
     json::array changes(const std::string& kind, std::uint64_t after) const;
 
     std::uint64_t m_revision{1};
+    std::uint64_t m_first_known{0};
     std::map<std::string, std::map<std::string, json::object>> m_objects;
     std::deque<change> m_changes;
 };
@@ -162,6 +174,8 @@
     if (!valid)
         co_return error_response(400, "watch and wait_ms are numbers");
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
+    if (after < m_first_known)
+        co_return error_response(410, "this history is gone");
     json::array events = changes(kind, after);
     while (events.empty() && std::chrono::steady_clock::now() < end)
     {
@@ -212,6 +226,7 @@
     void publish();
     void kill();
     void drain();
+    bool draining() const { return m_draining; }
     /// Sends no events for this long; reports are still given.
     void pause(std::chrono::milliseconds time)
     {
@@ -224,6 +239,7 @@
                layers.m_end <= m_layers.m_end;
     }
     bool alive() const { return m_alive; }
+    const json::object& entry() const { return m_entry; }
     const std::string& address() const { return m_address; }
     std::string id() const { return m_entry.at("id").as_string().c_str(); }
 
@@ -253,6 +269,7 @@
     bool m_alive{true};
     bool m_draining{false};
     std::chrono::steady_clock::time_point m_paused_until;
+    std::chrono::steady_clock::time_point m_drained_at;
     std::map<std::string, running_call> m_calls;
 };
 
@@ -264,19 +281,35 @@
     asio::awaitable<void> answer(http_exchange& exchange);
     endpoint_standin* find(const std::string& address);
     void note_run(const std::string& call);
+    void note_arrival(const std::string& call);
+    /// Whether endpoints now refuse the call as not run.
+    bool full(const std::string& call) const;
+    /// New work reached an endpoint this long after it began to leave.
+    void note_late_arrival(std::chrono::milliseconds after);
+    /// A deliberate fault of this stand-in, by which a check is shown to find it.
+    bool has_defect(std::string_view name) const { return m_defect == name; }
     void check_path(const std::vector<hop>& path);
 
     asio::io_context& m_io;
     object_table m_objects;
     bool m_lose_answers{false}; ///< Plain endpoints run a call and close without an answer.
+    bool m_full{false};         ///< Endpoints refuse all calls as not run.
+    int m_full_after_runs{0};   ///< Likewise each call that has run this often; 0: none.
     bool m_store_down{false};
+    std::chrono::milliseconds m_store_delay{0};
 
 private:
     http_response control(const http_request& request);
+    /// Starts an endpoint that was killed or leaves anew, empty, under its old id.
+    void revive(const std::string& id);
     json::object configuration() const;
 
     std::vector<std::unique_ptr<endpoint_standin>> m_endpoints;
     std::map<std::string, int> m_runs;
+    std::map<std::string, int> m_arrivals;     ///< Also of calls that were refused.
+    std::vector<std::int64_t> m_late_arrivals; ///< Unix milliseconds.
+    std::vector<std::string> m_keys{"secret"};
+    std::string m_defect;
     int m_wrong_paths{0};
     std::uint64_t m_version{1};
 };
@@ -310,6 +343,7 @@
 void endpoint_standin::drain()
 {
     m_draining = true;
+    m_drained_at = std::chrono::steady_clock::now();
     publish();
 }
 
@@ -329,6 +363,19 @@
     else
     {
         const std::string call(find_field(request.m_fields, "Fulmaryard-Attempt-Id").value_or(""));
+        m_system.note_arrival(call);
+        if (m_draining)
+        {
+            m_system.note_late_arrival(std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now() - m_drained_at));
+        }
+        if (m_system.full(call))
+        {
+            http_response refusal{
+                503, {{"Fulmaryard-Attempt-Id", call}, {"Fulmaryard-Not-Executed", "1"}}, {}};
+            std::ignore = co_await exchange.respond(std::move(refusal));
+            co_return;
+        }
         if (m_entry.contains("kind"))
             co_return co_await answer_stream(exchange, call);
         co_return co_await answer_plain(exchange, call);
@@ -462,7 +509,11 @@
         if (!co_await wait_for_path(call))
             break;
         ++last;
-        const std::string event = fmt::format("id: {}\ndata: {} {}\n\n", last, call, last);
+        if (m_system.has_defect("skipped_event") && last == 5)
+            continue;
+        const std::string event = fmt::format(
+            "id: {}\ndata: {} {}\n\n", last,
+            m_system.has_defect("foreign_event") && last == 5 ? "other" : call, last);
         const auto sent = co_await exchange.send_events(event);
         gone = gone || !sent.ok();
     }
@@ -477,6 +528,15 @@
 endpoint_standin::answer_plain(http_exchange& exchange, const std::string& call)
 {
     m_system.note_run(call);
+    if (m_system.has_defect("second_run"))
+        m_system.note_run(call);
+    if (m_system.has_defect("refusal_after_run"))
+    {
+        http_response refusal{
+            503, {{"Fulmaryard-Attempt-Id", call}, {"Fulmaryard-Not-Executed", "1"}}, {}};
+        std::ignore = co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
     if (m_system.m_lose_answers)
     {
         exchange.abort_connection();
@@ -544,7 +604,7 @@
              json::object{{"name", "model"}, {"engine", std::move(engine)}},
              json::object{{"name", "orders"}}}},
         {"tenants",
-         json::array{json::object{{"name", "kitwerk"}, {"api_keys", json::array{"secret"}}}}}};
+         json::array{json::object{{"name", "kitwerk"}, {"api_keys", json::value_from(m_keys)}}}}};
 }
 
 endpoint_standin* pipeline_standin::find(const std::string& address)
@@ -563,6 +623,25 @@
         ++m_runs[call];
 }
 
+void pipeline_standin::note_arrival(const std::string& call)
+{
+    if (m_arrivals.size() < journal_limit)
+        ++m_arrivals[call];
+}
+
+bool pipeline_standin::full(const std::string& call) const
+{
+    const auto ran = m_runs.find(call);
+    return m_full ||
+           (m_full_after_runs > 0 && ran != m_runs.end() && ran->second >= m_full_after_runs);
+}
+
+void pipeline_standin::note_late_arrival(std::chrono::milliseconds after)
+{
+    if (after > leaving_limit)
+        m_late_arrivals.push_back(static_cast<std::int64_t>(unix_ms()));
+}
+
 void pipeline_standin::check_path(const std::vector<hop>& path)
 {
     std::uint32_t next = 0;
@@ -575,6 +654,18 @@
     m_wrong_paths += next == model_layers ? 0 : 1;
 }
 
+void pipeline_standin::revive(const std::string& id)
+{
+    const auto found = std::find_if(
+        m_endpoints.rbegin(), m_endpoints.rend(),
+        [&id](const auto& endpoint) { return endpoint->id() == id; });
+    if (found == m_endpoints.rend() || ((*found)->alive() && !(*found)->draining()))
+        return;
+    (*found)->kill();
+    m_endpoints.push_back(std::make_unique<endpoint_standin>(*this, m_io, (*found)->entry()));
+    m_endpoints.back()->start();
+}
+
 http_response pipeline_standin::control(const http_request& request)
 {
     if (request.m_method == "GET")
@@ -582,16 +673,27 @@
         json::object runs;
         for (const auto& [call, count] : m_runs)
             runs[call] = count;
+        json::object arrivals;
+        for (const auto& [call, count] : m_arrivals)
+            arrivals[call] = count;
         return json_response(
-            200, json::object{{"runs", std::move(runs)}, {"wrong_paths", m_wrong_paths}});
+            200, json::object{
+                     {"runs", std::move(runs)},
+                     {"arrivals", std::move(arrivals)},
+                     {"late_arrivals", json::value_from(m_late_arrivals)},
+                     {"wrong_paths", m_wrong_paths}});
     }
     const auto order = parse_object(request.m_body).value_or(json::object{});
+    revive(text_of(order, "revive"));
     for (const auto& endpoint : m_endpoints)
     {
         if (endpoint->address() == text_of(order, "kill") ||
             endpoint->id() == text_of(order, "kill"))
             endpoint->kill();
-        if (endpoint->address() == text_of(order, "pause"))
+        if (order.contains("pause_all_ms"))
+            endpoint->pause(std::chrono::milliseconds(number_of(order, "pause_all_ms", 0)));
+        if (endpoint->address() == text_of(order, "pause") ||
+            endpoint->id() == text_of(order, "pause"))
             endpoint->pause(std::chrono::milliseconds(number_of(order, "pause_ms", 0)));
         if (endpoint->id() == text_of(order, "drain"))
             endpoint->drain();
@@ -599,7 +701,20 @@
             m_objects.remove("servers", endpoint->id());
     }
     m_lose_answers = flag_of(order, "lose_answers");
+    m_full = flag_of(order, "full");
+    m_full_after_runs = static_cast<int>(number_of(order, "full_after_runs", 0));
     m_store_down = flag_of(order, "store_down");
+    m_store_delay = std::chrono::milliseconds(number_of(order, "store_delay_ms", 0));
+    if (flag_of(order, "drop_history"))
+        m_objects.drop_history();
+    if (order.contains("defect"))
+        m_defect = text_of(order, "defect");
+    if (order.contains("keys"))
+    {
+        m_keys = json::value_to<std::vector<std::string>>(order.at("keys"));
+        ++m_version;
+        m_objects.put("config", "main", configuration());
+    }
     return json_response(200, json::object{});
 }
 
@@ -616,6 +731,8 @@
         std::ignore = co_await exchange.respond(error_response(503, "down"));
         co_return;
     }
+    if (m_store_delay.count() > 0)
+        co_await sleep_for(m_store_delay);
     auto response = co_await m_objects.answer(request);
     std::ignore = co_await exchange.respond(std::move(response));
 }
