--- a/tests/soak/soak_record.hpp
+++ b/tests/soak/soak_record.hpp
@@ -1,6 +1,7 @@
 #ifndef FULMARYARD_SOAK_RECORD_HPP
 #define FULMARYARD_SOAK_RECORD_HPP
 
+#include "soak/router_downtime.hpp"
 #include "soak/soak_plan.hpp"
 #include "soak/soak_request.hpp"
 
@@ -17,6 +18,7 @@
 struct soak_record
 {
     soak_plan m_plan;
+    std::vector<router_downtime> m_down;
     std::vector<fault> m_done; ///< Faults with the times at which they were made.
     std::vector<soak_request> m_requests;
     std::map<std::string, int> m_runs;     ///< By call, from the endpoints.
--- a/tests/unit/soak_checks_test.cpp
+++ b/tests/unit/soak_checks_test.cpp
@@ -116,6 +116,16 @@
         record.m_plan.m_planned_only = false;
         CHECK(found(record).empty());
     }
+    SUBCASE("do not ask for an answer from a router that does not run")
+    {
+        once.m_status = 0;
+        once.m_complete = false;
+        CHECK(found(record) == names{"graceful_shutdown"});
+        record.m_down = {{0, 4900ms, 5100ms}};
+        CHECK(found(record).empty());
+        record.m_down = {{1, 4900ms, 5100ms}, {0, 3s, 4s}};
+        CHECK(found(record) == names{"graceful_shutdown"});
+    }
     SUBCASE("find a revoked key that counts too long, and a granted one that does not count")
     {
         once.m_key = "second";
