--- a/include/fulmaryard/request_room.hpp
+++ b/include/fulmaryard/request_room.hpp
@@ -37,7 +37,7 @@
     /// A request of `tokens` tokens at its end goes over `path`; `unread` tokens of it have to be
     /// read first.
     void take(const std::vector<path_hop>& path, double tokens, double unread = 0);
-    /// The endpoints of `path` will read `unread` tokens, for example of a request that moved there.
+    /// The endpoints of `path` will read `unread` tokens, as of a request that moved there.
     void begin_read(const std::vector<path_hop>& path, double unread);
     /// The endpoints of `path` have read `unread` tokens.
     void on_read(const std::vector<path_hop>& path, double unread);
--- a/src/layer_cover.hpp
+++ b/src/layer_cover.hpp
@@ -13,10 +13,9 @@
 /// Finds the fewest layers to load so that endpoints which hold parts of a model hold all of it.
 ///
 /// Looks for a chain of endpoints, each of which keeps or extends its range; if there is none, of
-/// endpoints that may also shift and so give up layers. Answers the
-/// loss of an endpoint whose neighbours lack memory: one further away then takes a part and those
-/// between shift, instead of a whole failure domain that is divided anew and serves nothing until
-/// it has loaded. Does no I/O.
+/// endpoints that may also shift and so give up layers. Answers the loss of an endpoint whose
+/// neighbours lack memory: one further away then takes a part and those between shift, instead of a
+/// whole failure domain that is divided anew and serves nothing until it has loaded. Does no I/O.
 class layer_cover
 {
 public:
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -183,7 +183,8 @@
     const auto now = std::chrono::steady_clock::now();
     const bool was_slow = m_health.pace(id, now) >= endpoint_health::slow_pace;
     m_health.on_pace(id, pace, own, now);
-    if (was_slow != (pace >= endpoint_health::slow_pace))
+    // What another router says does not count beside a recent report to this process.
+    if (was_slow != (m_health.pace(id, now) >= endpoint_health::slow_pace))
     {
         log_event(log_level::info, was_slow ? "endpoint_fast" : "endpoint_slow")
             .with("endpoint", id)
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -74,8 +74,8 @@
     /// Whether new work may be sent to the endpoint.
     bool usable(const endpoint_record& record) const;
 
-    /// Whether the endpoint is known not to answer. One that is no longer listed may still serve what
-    /// it has begun.
+    /// Whether the endpoint is known not to answer. One that is no longer listed may still serve
+    /// what it has begun.
     bool lost(const std::string& id) const;
 
     /// Layers that the endpoint holds, by its entry or by a newer report.
