--- a/include/fulmaryard/layer_placement.hpp
+++ b/include/fulmaryard/layer_placement.hpp
@@ -25,9 +25,8 @@
 ///
 /// A gap that a lost endpoint left is closed by endpoints that hold nothing, or by others that
 /// extend or shift what they hold with the fewest loads; the domain is divided anew only when no
-/// such change suffices. An
-/// endpoint that holds nothing takes the layers for which there is the least room, and endpoints
-/// that had closed a gap then give up what others hold. Does no I/O.
+/// such change suffices. An endpoint that holds nothing takes the layers for which there is the
+/// least room, and endpoints that had closed a gap then give up what others hold. Does no I/O.
 class layer_placement
 {
 public:
