--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -278,6 +278,7 @@
     const double tokens = session->tokens();
     const double unread = session->context_tokens();
     m_core.m_room.take(path, tokens, unread);
+    m_core.count_crossings(*service, path, tokens);
     http_request order = m_core.m_protocol.write_repath(session->accepted().m_call.m_id, path);
     m_core.m_metrics.counter("fulmaryard_router_repath_orders_total").add();
     const auto response = co_await call_endpoint(
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -182,7 +182,6 @@
     m_unread = context_tokens();
     m_core.m_room.take(m_path, m_tokens);
     m_core.m_room.begin_read(m_reading, m_unread);
-    m_core.count_crossings(*service(), m_path, m_tokens);
 }
 
 bool stream_session::outlasts_router(const std::vector<path_hop>& path) const
@@ -318,6 +317,7 @@
             co_return false;
         if (!path.empty())
         {
+            m_core.count_crossings(*service(), path, m_tokens);
             set_path(path, path);
             co_return true;
         }
@@ -345,6 +345,7 @@
         if (path.empty())
             continue;
         m_core.m_line.remove(m_id);
+        m_core.count_crossings(*service(), path, m_tokens);
         set_path(path, path);
         m_core.m_on_room(); // The next in line may fit too.
         co_return true;
