--- a/tests/unit/layer_placement_test.cpp
+++ b/tests/unit/layer_placement_test.cpp
@@ -185,6 +185,7 @@
     {
         // A domain that is divided anew serves nothing until all its endpoints have loaded.
         std::vector<placement_member> domain;
+        domain.reserve(9);
         for (int i = 0; i < 2; ++i)
             domain.push_back(make_member("large-" + std::to_string(i), 72'000, 2.4));
         for (int i = 0; i < 2; ++i)
