--- a/tests/process/router_test.cpp
+++ b/tests/process/router_test.cpp
@@ -425,6 +425,40 @@
     CHECK(system.journal().at("wrong_paths").to_number<int>() == 0);
 }
 
+TEST_CASE("many versions of the configuration in quick succession")
+{
+    // Guards against a router that reads and applies each version in turn and stays behind for as
+    // long as that takes.
+    router_system system;
+    system.start_router("router-1");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    const auto applied = [&]
+    {
+        const std::string log = system.process("router-1").output();
+        int lines = 0;
+        for (auto at = log.find("event=configuration_in_force"); at != std::string::npos;
+             at = log.find("event=configuration_in_force", at + 1))
+            ++lines;
+        return lines;
+    };
+    const int before = applied();
+    system.process("router-1").kill(SIGSTOP);
+    for (int version = 0; version < 20; ++version)
+        system.control({{"keys", json::array{"secret", fmt::format("key-{}", version)}}});
+    system.process("router-1").kill(SIGCONT);
+    const test_client client(system.address("router-1"));
+    CHECK(wait_until(
+        [&]
+        {
+            const auto response =
+                client.send(router_system::make_request("GET", "/look/1", "newest", "key-19"));
+            return response.ok() && response->m_status == 200;
+        },
+        2s));
+    // The version whose watch was answered before, the newest, and one between them.
+    CHECK(applied() - before <= 3);
+}
+
 TEST_CASE("requests while the store is down")
 {
     // Guards against routers that stop serving with the store, and against a store that is asked
