Log and count how each read of the platform's state ended

Cause: the logs could not tell whether a router was not told of a version, had not finished reading it, or had read and not taken it: nothing said that a read began, was given up, or how many bytes it brought.

Change: http_transfer counts the bytes of a running exchange, and the feed reports each read to the router with its call, revision, result, bytes, time to the first byte and reason. Reads without news are logged at debug. No logic changed.

--- a/include/fulmaryard/http_client.hpp
+++ b/include/fulmaryard/http_client.hpp
@@ -16,6 +16,8 @@
 namespace fulmaryard
 {
 
+class http_transfer;
+
 /// HTTP/1.1 client for one address, with a pool of idle keep-alive connections. Thread-safe.
 class http_client
 {
@@ -43,10 +45,13 @@
     /// out to be closed before any byte of the response arrives, the request is sent once more on
     /// a new connection.
     ///
+    /// `transfer`, if given, is kept up to date while the exchange runs.
+    ///
     /// Pass a named object as `request`: g++ 12 makes a bitwise copy of a braced temporary inside a
     /// co_await expression, so that its strings are freed twice.
-    boost::asio::awaitable<absl::StatusOr<http_response>>
-    send(http_request request, std::chrono::milliseconds deadline, reuse policy = reuse::allowed);
+    boost::asio::awaitable<absl::StatusOr<http_response>> send(
+        http_request request, std::chrono::milliseconds deadline, reuse policy = reuse::allowed,
+        std::shared_ptr<http_transfer> transfer = nullptr);
 
     const std::string& address() const;
 
--- a/include/fulmaryard/platform_listener.hpp
+++ b/include/fulmaryard/platform_listener.hpp
@@ -3,6 +3,7 @@
 
 #include <fulmaryard/endpoint_record.hpp>
 #include <fulmaryard/routing_configuration.hpp>
+#include <fulmaryard/store_read.hpp>
 
 #include <cstdint>
 #include <string>
@@ -31,6 +32,8 @@
     virtual void on_store_unavailable() = 0;
     /// A call to the store succeeded for the first time after `on_store_unavailable`.
     virtual void on_store_recovered() = 0;
+    /// A read of the configuration or of the endpoints has ended.
+    virtual void on_store_read(const store_read& read) = 0;
 };
 
 } // namespace fulmaryard
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -3,6 +3,7 @@
 
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/http_client.hpp>
+#include <fulmaryard/http_transfer.hpp>
 #include <fulmaryard/peer_address.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -107,10 +108,28 @@
         co_return connection;
     }
 
+    /// Reads one response, recording its progress in `transfer` unless that is null.
+    static asio::awaitable<beast::error_code> read_response(
+        pooled_connection& connection, http::response_parser<http::string_body>& parser,
+        http_transfer* transfer)
+    {
+        parser.eager(true);
+        while (!parser.is_done())
+        {
+            const auto [error, size] = co_await http::async_read_some(
+                connection.m_stream, connection.m_buffer, parser, use_tuple);
+            if (transfer != nullptr)
+                transfer->on_received(size, std::chrono::steady_clock::now());
+            if (error)
+                co_return error;
+        }
+        co_return beast::error_code{};
+    }
+
     /// Writes the request and reads the response. Runs on the strand of `connection`.
     asio::awaitable<attempt_result> exchange(
         pooled_connection& connection, const http::request<http::string_body>& message,
-        std::chrono::steady_clock::time_point deadline)
+        std::chrono::steady_clock::time_point deadline, http_transfer* transfer)
     {
         connection.m_stream.expires_at(deadline);
         const auto [write_error, written] =
@@ -126,8 +145,7 @@
             parser->body_limit(m_max_response_bytes);
             if (message.method() == http::verb::head)
                 parser->skip(true);
-            const auto [read_error, size] = co_await http::async_read(
-                connection.m_stream, connection.m_buffer, *parser, use_tuple);
+            const auto read_error = co_await read_response(connection, *parser, transfer);
             if (read_error)
             {
                 const bool nothing_read =
@@ -159,11 +177,11 @@
     asio::awaitable<attempt_result> exchange_on_strand(
         std::unique_ptr<pooled_connection>& connection,
         const http::request<http::string_body>& message,
-        std::chrono::steady_clock::time_point deadline)
+        std::chrono::steady_clock::time_point deadline, http_transfer* transfer)
     {
         const auto executor = connection->m_stream.get_executor();
         co_return co_await asio::co_spawn(
-            executor, exchange(*connection, message, deadline), asio::use_awaitable);
+            executor, exchange(*connection, message, deadline, transfer), asio::use_awaitable);
     }
 };
 
@@ -185,8 +203,9 @@
     return m_state->m_address;
 }
 
-asio::awaitable<absl::StatusOr<http_response>>
-http_client::send(http_request request, std::chrono::milliseconds deadline, reuse policy)
+asio::awaitable<absl::StatusOr<http_response>> http_client::send(
+    http_request request, std::chrono::milliseconds deadline, reuse policy,
+    std::shared_ptr<http_transfer> transfer)
 {
     const auto self = m_state;
     const auto expiry = std::chrono::steady_clock::now() + deadline;
@@ -203,7 +222,8 @@
     {
         if (auto connection = self->take_idle())
         {
-            auto result = co_await self->exchange_on_strand(connection, message, expiry);
+            auto result =
+                co_await self->exchange_on_strand(connection, message, expiry, transfer.get());
             if (result.m_reusable)
                 self->put_idle(std::move(connection));
             // A connection can stop responding without being closed. The other pooled connections
@@ -217,7 +237,7 @@
     auto connection = co_await self->connect(expiry);
     if (!connection.ok())
         co_return connection.status();
-    auto result = co_await self->exchange_on_strand(*connection, message, expiry);
+    auto result = co_await self->exchange_on_strand(*connection, message, expiry, transfer.get());
     if (result.m_reusable)
         self->put_idle(std::move(*connection));
     co_return std::move(result.m_response);
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -24,6 +24,7 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <csignal>
 #include <tuple>
 #include <utility>
@@ -100,8 +101,11 @@
               m_core, store,
               fmt::format("{}/{}", m_settings.m_name, fulmaryard::to_string(make_stream_id()))),
           m_reload(std::move(reload)),
-          m_lifecycle([](lifecycle_phase phase)
-                      { log_event(log_level::info, "lifecycle").with("phase", to_string(phase)); }),
+          m_lifecycle(
+              [](lifecycle_phase phase) {
+                  log_event(log_level::info, "lifecycle")
+                      .with("phase", fulmaryard::to_string(phase));
+              }),
           m_caller_server(
               io, caller_limits(m_settings),
               [this](http_exchange& exchange) { return serve(exchange); }),
@@ -225,7 +229,44 @@
         m_core.m_membership.on_store_recovered(steady::now());
     }
 
+    void on_store_read(const store_read& read) override
+    {
+        const auto kind = to_string(read.m_state);
+        const auto result = to_string(read.m_result);
+        m_core.m_metrics
+            .counter(
+                "fulmaryard_router_store_reads_total",
+                fmt::format("kind=\"{}\",result=\"{}\"", kind, result))
+            .add();
+        m_core.m_metrics
+            .counter("fulmaryard_router_store_read_bytes_total", fmt::format("kind=\"{}\"", kind))
+            .add(read.m_bytes);
+        // Watches that end without a change are frequent and say nothing.
+        const bool idle = read.m_result == store_read::result::answered && read.m_events == 0;
+        log_event(idle ? log_level::debug : log_level::info, "store_read")
+            .with("kind", kind)
+            .with("call", read.m_call == store_read::call_kind::listing ? "listing" : "watch")
+            .with("revision", read.m_revision)
+            .with("result", result)
+            .with("reason", read.m_reason)
+            .with("events", read.m_events)
+            .with("bytes", read.m_bytes)
+            .with("first_byte_ms", read.m_first_byte_after.count())
+            .with("ms", read.m_duration.count());
+    }
+
 private:
+    static std::string_view to_string(store_read::state_kind kind)
+    {
+        return kind == store_read::state_kind::configuration ? "configuration" : "endpoints";
+    }
+
+    static std::string_view to_string(store_read::result result)
+    {
+        constexpr std::array<std::string_view, 3> names{"answered", "failed", "given_up"};
+        return names[static_cast<std::size_t>(result)];
+    }
+
     /// Whether the router can route requests: it knows a configuration and the endpoints.
     bool state_known() const { return m_core.m_table != nullptr && m_endpoints_known; }
 
