Known red: a large configuration that changes often is not in force over a slow link

The test reproduces the incident without the bench: one router reads the store directly, one over a link of 20 Mbit/s, and the configuration of close to 1 MB, the limit of the store, changes twelve times a third of a second apart. It fails: the last version is not in force 3 s after it was written. The relay learns to limit a link that its connections share.

--- a/tests/process/router_test.cpp
+++ b/tests/process/router_test.cpp
@@ -62,18 +62,37 @@
         REQUIRE(wait_until([&] { return ready(name); }));
     }
 
+    /// Lets the router reach the store over a link of `bytes_per_s`, which its connections share.
+    /// To be called before the router is started.
+    void use_slow_link(const std::string& name, std::int64_t bytes_per_s)
+    {
+        auto& link = m_links[name];
+        link.m_process = std::make_unique<child_process>(
+            std::string(FULMARYARD_STANDIN_DIRECTORY) + "/standin_relay",
+            std::vector<std::string>{
+                "--listen", link.m_control.address(), "--relay", link.m_relay.address(), "--target",
+                m_store},
+            m_directory.file("link-" + name));
+        REQUIRE(link.m_process->wait_for_port(20s).ok());
+        const json::object fault{{"kind", "slow"}, {"bytes_per_s", bytes_per_s}};
+        const test_client client(link.m_control.address());
+        REQUIRE(client.post("/faults", json::serialize(fault)).ok());
+    }
+
     /// Starts a router without waiting until it is ready.
     void launch_router(const std::string& name, const std::string& extra_settings = "")
     {
         auto& started = m_routers[name];
         const std::string path = m_directory.file(name + ".yaml");
+        const auto link = m_links.find(name);
         std::FILE* file = std::fopen(path.c_str(), "w");
         fmt::print(
             file,
             "name: {}\nregion: r\nfailure_domain: domain-1\nplatform: {}\nlisten: {}\n"
             "ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\ngrace_ms: 8000\n{}",
-            name, m_store, started.m_listen.address(), started.m_ready.address(),
-            started.m_metrics.address(), started.m_peer.address(), extra_settings);
+            name, link == m_links.end() ? m_store : link->second.m_relay.address(),
+            started.m_listen.address(), started.m_ready.address(), started.m_metrics.address(),
+            started.m_peer.address(), extra_settings);
         std::fclose(file);
         started.m_process = std::make_unique<child_process>(
             FULMARYARD_BINARY, std::vector<std::string>{"router", "--settings", path},
@@ -144,8 +163,16 @@
         std::unique_ptr<child_process> m_process;
     };
 
+    struct slow_link
+    {
+        reserved_port m_control;
+        reserved_port m_relay;
+        std::unique_ptr<child_process> m_process;
+    };
+
     temporary_directory m_directory;
     std::unique_ptr<child_process> m_platform;
+    std::map<std::string, slow_link> m_links; ///< By router.
     std::string m_store;
     std::map<std::string, router> m_routers;
     int m_warmup_count{0};
@@ -548,3 +575,35 @@
 }
 
 TEST_SUITE_END();
+
+TEST_SUITE_BEGIN("slow_configuration_read");
+
+TEST_CASE("a large configuration that changes often, read over a slow link")
+{
+    // Guards against a router that gives up its unfinished read whenever others know a newer
+    // version, and so never has a new version in force.
+    constexpr std::int64_t link_bytes_per_s = 20'000'000 / 8;
+    constexpr int idle_routes =
+        5'000; // A configuration of close to 1 MB, the most that the store holds.
+    constexpr auto config_apply_time = 3'000ms;
+    router_system system;
+    system.control({{"idle_routes", idle_routes}, {"keys", json::array{"secret"}}});
+    system.use_slow_link("router-2", link_bytes_per_s);
+    system.start_router("router-1");
+    system.start_router("router-2");
+    REQUIRE(wait_until([&] { return system.serves("router-2"); }));
+    const auto in_force = [&](const std::string& key)
+    {
+        const auto response = test_client(system.address("router-2"))
+                                  .send(router_system::make_request("GET", "/look/1", key, key));
+        return response.ok() && response->m_status == 200;
+    };
+    for (int version = 0; version < 12; ++version)
+    {
+        system.control({{"keys", json::array{"secret", fmt::format("key-{}", version)}}});
+        std::this_thread::sleep_for(330ms);
+    }
+    CHECK(wait_until([&] { return in_force("key-11"); }, config_apply_time));
+}
+
+TEST_SUITE_END();
--- a/tests/standins/pipeline_main.cpp
+++ b/tests/standins/pipeline_main.cpp
@@ -316,6 +316,7 @@
     std::map<std::string, int> m_arrivals;     ///< Includes refused calls.
     std::vector<std::int64_t> m_late_arrivals; ///< Unix time in milliseconds.
     std::vector<std::string> m_keys{"secret"};
+    std::uint64_t m_idle_routes{0}; ///< Routes that no request uses, for a large configuration.
     std::string m_defect;
     int m_incomplete_paths{0};
     std::uint64_t m_version{1};
@@ -607,12 +608,14 @@
                             {"service", service}, {"attempts", 2},       {"public", false},
                             {"resumable", true},  {"priority", 1}};
     };
+    json::array routes{
+        route("/chat/", "streaming", "model"), route("/orders/", "non_idempotent", "orders"),
+        route("/look/", "idempotent", "orders")};
+    for (std::uint64_t i = 0; i < m_idle_routes; ++i)
+        routes.push_back(route(fmt::format("/idle-{}/", i).c_str(), "idempotent", "orders"));
     return {
         {"version", m_version},
-        {"routes",
-         json::array{
-             route("/chat/", "streaming", "model"), route("/orders/", "non_idempotent", "orders"),
-             route("/look/", "idempotent", "orders")}},
+        {"routes", std::move(routes)},
         {"services",
          json::array{
              json::object{{"name", "model"}, {"engine", std::move(engine)}},
@@ -724,6 +727,7 @@
         m_objects.drop_history();
     if (order.contains("defect"))
         m_defect = text_of(order, "defect");
+    m_idle_routes = number_of(order, "idle_routes", m_idle_routes);
     if (order.contains("keys"))
     {
         m_keys = json::value_to<std::vector<std::string>>(order.at("keys"));
--- a/tests/standins/relay_main.cpp
+++ b/tests/standins/relay_main.cpp
@@ -3,7 +3,9 @@
 // set over HTTP at `--listen`: POST /faults {"kind": "silent"} stops forwarding on the connections
 // that are currently open, while new ones work; {"kind": "delay", "ms": N} delays what is
 // forwarded;
-// {"kind": "cut"} closes all connections and refuses new ones. DELETE /faults ends delay and cut.
+// {"kind": "slow", "bytes_per_s": N} limits what the target sends over all connections together;
+// {"kind": "cut"} closes all connections and refuses new ones. DELETE /faults ends delay, slow and
+// cut.
 
 #include "standin_options.hpp"
 #include "standin_support.hpp"
@@ -17,7 +19,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <set>
 #include <tuple>
 
@@ -74,6 +78,7 @@
         {
             m_cut = false;
             m_delay = std::chrono::milliseconds(0);
+            m_bytes_per_s = 0;
             return json_response(200, json::object());
         }
         const auto description = parse_object(request.m_body);
@@ -85,6 +90,8 @@
         }
         else if (kind == "delay")
             m_delay = std::chrono::milliseconds(number_of(*description, "ms", 0));
+        else if (kind == "slow")
+            m_bytes_per_s = static_cast<double>(number_of(*description, "bytes_per_s", 0));
         else if (kind == "cut")
         {
             m_cut = true;
@@ -111,6 +118,17 @@
         co_await forward(connection, connection->m_client, connection->m_server);
     }
 
+    /// Waits until `bytes` have crossed the link that all connections share.
+    asio::awaitable<void> cross_link(std::size_t bytes)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const std::chrono::duration<double> crossing(static_cast<double>(bytes) / m_bytes_per_s);
+        m_link_free = std::max(m_link_free, now) +
+                      std::chrono::duration_cast<std::chrono::steady_clock::duration>(crossing);
+        co_await sleep_for(
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_link_free - now));
+    }
+
     asio::awaitable<void>
     forward(std::shared_ptr<relayed_connection> connection, tcp::socket& from, tcp::socket& to)
     {
@@ -123,6 +141,8 @@
                 break;
             if (m_delay.count() > 0)
                 co_await sleep_for(m_delay);
+            if (m_bytes_per_s > 0 && &from == &connection->m_server)
+                co_await cross_link(size);
             if (connection->m_silent)
                 continue; // Discarded, as by a device that lost the connection's state.
             const auto [write_error, written] =
@@ -142,6 +162,8 @@
     std::set<std::shared_ptr<relayed_connection>> m_connections;
     bool m_cut{false};
     std::chrono::milliseconds m_delay{0};
+    double m_bytes_per_s{0}; ///< Capacity of the link from the target; 0: not limited.
+    std::chrono::steady_clock::time_point m_link_free; ///< When what is queued has crossed.
 };
 
 } // namespace
