Store feed: finish a read whose answer arrives; restart only the part that lags

Callers got 401 or 404, or were served as an older version says, for up to 20 s after a version was acknowledged.

Cause: a router that hears of a newer version begins its watches again, and discarded the answer that was on its way. Over a link of 20 Mbit/s a large configuration takes longer than the third of a second between two signs, so no answer was ever complete. The discarded calls went on to receive, so that each new one had less of the link; a sign for the endpoints restarted the configuration as well.

Change: a call whose answer has begun to arrive goes on; only the part of the state that lags is read again; the connection of a call that is given up is closed, and its successor uses a new one.

--- a/include/fulmaryard/http_client.hpp
+++ b/include/fulmaryard/http_client.hpp
@@ -45,7 +45,8 @@
     /// out to be closed before any byte of the response arrives, the request is sent once more on
     /// a new connection.
     ///
-    /// `transfer`, if given, is kept up to date while the exchange runs.
+    /// `transfer`, if given, is kept up to date while the exchange runs. An exchange that is
+    /// cancelled through it fails with `endpoint_lost`.
     ///
     /// Pass a named object as `request`: g++ 12 makes a bitwise copy of a braced temporary inside a
     /// co_await expression, so that its strings are freed twice.
--- a/include/fulmaryard/http_transfer.hpp
+++ b/include/fulmaryard/http_transfer.hpp
@@ -4,16 +4,47 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <functional>
+#include <mutex>
+#include <utility>
 
 namespace fulmaryard
 {
 
-/// Progress of one HTTP exchange, which its caller can read while the exchange runs. Thread-safe.
+/// Progress of one HTTP exchange, which its caller can read, and end early, while the exchange
+/// runs. Thread-safe.
 class http_transfer
 {
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
+    /// Ends the exchange: its connection is closed, so that the rest of the response is not sent.
+    void cancel()
+    {
+        std::function<void()> abort;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_cancelled = true;
+            abort = std::move(m_abort);
+        }
+        if (abort)
+            abort();
+    }
+
+    bool cancelled() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_cancelled;
+    }
+
+    /// Sets what `cancel` calls. Returns false if the exchange has been cancelled already.
+    bool on_started(std::function<void()> abort)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_abort = std::move(abort);
+        return !m_cancelled;
+    }
+
     /// Records `bytes` further bytes of the response, header included.
     void on_received(std::size_t bytes, time_point now)
     {
@@ -30,6 +61,9 @@
     time_point first_byte() const { return m_first_byte.load(std::memory_order_relaxed); }
 
 private:
+    mutable std::mutex m_mutex;
+    std::function<void()> m_abort;
+    bool m_cancelled{false};
     std::atomic<std::size_t> m_received_bytes{0};
     std::atomic<time_point> m_first_byte{time_point{}};
 };
--- a/include/fulmaryard/router_process.hpp
+++ b/include/fulmaryard/router_process.hpp
@@ -35,7 +35,7 @@
 
     /// Sets a function that reads the platform's state again. It is called when other routers know
     /// newer versions of it.
-    void set_refresh(std::function<void()> refresh);
+    void set_refresh(std::function<void(lagging_state)> refresh);
 
     /// Whether this router is one of the few that read the platform's state closely.
     bool is_store_reader() const;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -7,6 +7,7 @@
 #include <fulmaryard/peer_address.hpp>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -35,6 +36,12 @@
     return make_failure(kind, error.message(), progress);
 }
 
+absl::Status cancelled_failure()
+{
+    return make_failure(
+        failure_kind::endpoint_lost, "the exchange was cancelled", dispatch_progress::sent);
+}
+
 // Largest number of received bytes that are not parsed yet. It also limits what the parser itself
 // does not, such as the extension of a chunk.
 constexpr std::size_t max_buffered_bytes = 128 * 1024;
@@ -65,10 +72,10 @@
     std::size_t m_max_idle;
     std::size_t m_max_response_bytes;
     std::mutex m_mutex;
-    std::vector<std::unique_ptr<pooled_connection>> m_idle;
+    std::vector<std::shared_ptr<pooled_connection>> m_idle;
 
     /// Returns the connection that was put back last, or nullptr if the pool is empty.
-    std::unique_ptr<pooled_connection> take_idle()
+    std::shared_ptr<pooled_connection> take_idle()
     {
         const std::lock_guard lock(m_mutex);
         if (m_idle.empty())
@@ -79,7 +86,7 @@
     }
 
     /// Returns a connection to the pool, or closes it if the pool is full.
-    void put_idle(std::unique_ptr<pooled_connection> connection)
+    void put_idle(std::shared_ptr<pooled_connection> connection)
     {
         const std::lock_guard lock(m_mutex);
         if (m_idle.size() < m_max_idle)
@@ -92,13 +99,13 @@
         m_idle.clear();
     }
 
-    asio::awaitable<absl::StatusOr<std::unique_ptr<pooled_connection>>>
+    asio::awaitable<absl::StatusOr<std::shared_ptr<pooled_connection>>>
     connect(std::chrono::steady_clock::time_point deadline)
     {
         const auto endpoint = parse_address(m_address);
         if (!endpoint.ok())
             co_return endpoint.status();
-        auto connection = std::make_unique<pooled_connection>(asio::make_strand(m_executor));
+        auto connection = std::make_shared<pooled_connection>(asio::make_strand(m_executor));
         connection->m_stream.expires_at(deadline);
         const auto [error] = co_await connection->m_stream.async_connect(*endpoint, use_tuple);
         if (error)
@@ -175,11 +182,27 @@
 
     /// Runs `exchange` on the strand of `connection`.
     asio::awaitable<attempt_result> exchange_on_strand(
-        std::unique_ptr<pooled_connection>& connection,
+        const std::shared_ptr<pooled_connection>& connection,
         const http::request<http::string_body>& message,
         std::chrono::steady_clock::time_point deadline, http_transfer* transfer)
     {
         const auto executor = connection->m_stream.get_executor();
+        if (transfer != nullptr)
+        {
+            const bool started = transfer->on_started(
+                [executor, weak = std::weak_ptr(connection)]
+                {
+                    asio::post(
+                        executor,
+                        [weak]
+                        {
+                            if (const auto cancelled = weak.lock())
+                                cancelled->m_stream.close();
+                        });
+                });
+            if (!started)
+                co_return attempt_result{cancelled_failure(), false, false};
+        }
         co_return co_await asio::co_spawn(
             executor, exchange(*connection, message, deadline, transfer), asio::use_awaitable);
     }
@@ -230,7 +253,8 @@
             // have usually failed in the same way, so all of them are dropped.
             else if (!result.m_response.ok())
                 self->drop_idle();
-            if (!result.m_closed_before_response)
+            const bool cancelled = transfer != nullptr && transfer->cancelled();
+            if (!result.m_closed_before_response || cancelled)
                 co_return std::move(result.m_response);
         }
     }
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -11,6 +11,7 @@
 #include <fulmaryard/endpoint_reservations.hpp>
 #include <fulmaryard/found_path.hpp>
 #include <fulmaryard/known_versions.hpp>
+#include <fulmaryard/lagging_state.hpp>
 #include <fulmaryard/metrics.hpp>
 #include <fulmaryard/path_candidate.hpp>
 #include <fulmaryard/retry_budget.hpp>
@@ -137,7 +138,8 @@
     /// closely; the others are told of newer versions. Reads of the store then grow slower than the
     /// number of routers.
     bool m_is_store_reader{true};
-    std::function<void()> m_refresh; ///< Reads the store again; empty if there is no feed.
+    /// Reads parts of the store again; empty if there is no feed.
+    std::function<void(lagging_state)> m_refresh;
     router_streams* m_streams{nullptr};
     std::uint64_t m_router_count{0}; ///< Routers that share the budgets; 0: unknown.
 
--- a/src/router_gossip.cpp
+++ b/src/router_gossip.cpp
@@ -179,13 +179,16 @@
 void router_gossip::on_peer_versions(const std::string& router, known_versions versions)
 {
     const auto now = std::chrono::steady_clock::now();
-    if (!m_version_lag.on_peer_versions(m_core.m_versions, versions, now) || !m_core.m_refresh)
+    const auto lagging = m_version_lag.on_peer_versions(m_core.m_versions, versions, now);
+    if (!lagging.any() || !m_core.m_refresh)
         return;
     log_event(log_level::info, "store_read_again")
         .with("router", router)
         .with("configuration", versions.m_configuration)
-        .with("endpoints", versions.m_endpoints);
-    m_core.m_refresh();
+        .with("configuration_lags", lagging.m_configuration)
+        .with("endpoints", versions.m_endpoints)
+        .with("endpoints_lag", lagging.m_endpoints);
+    m_core.m_refresh(lagging);
 }
 
 void router_gossip::decode(std::string_view text)
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -206,7 +206,10 @@
 
     bool is_store_reader() const { return m_core.m_is_store_reader; }
 
-    void set_refresh(std::function<void()> refresh) { m_core.m_refresh = std::move(refresh); }
+    void set_refresh(std::function<void(lagging_state)> refresh)
+    {
+        m_core.m_refresh = std::move(refresh);
+    }
 
     void on_router_addresses(const std::vector<std::string>& addresses) override
     {
@@ -611,7 +614,7 @@
     return m_impl->is_store_reader();
 }
 
-void router_process::set_refresh(std::function<void()> refresh)
+void router_process::set_refresh(std::function<void(lagging_state)> refresh)
 {
     m_impl->set_refresh(std::move(refresh));
 }
--- a/tests/unit/router_state_test.cpp
+++ b/tests/unit/router_state_test.cpp
@@ -198,22 +198,25 @@
     // still gets work, because the connection of a watch was lost without a reset.
     version_lag lag;
     const known_versions own{5, 100};
+    const lagging_state none{};
+    const lagging_state configuration{true, false};
+    const lagging_state endpoints{false, true};
 
     SUBCASE("not while routers learn of a change at slightly different times")
     {
-        CHECK_FALSE(lag.on_peer_versions(own, {6, 100}, start));
-        CHECK_FALSE(lag.on_peer_versions(own, {6, 100}, start + 200ms));
-        CHECK_FALSE(lag.on_peer_versions({6, 100}, {6, 100}, start + 400ms));
-        CHECK_FALSE(lag.on_peer_versions({6, 100}, {5, 90}, start + 1s));
+        CHECK(lag.on_peer_versions(own, {6, 100}, start) == none);
+        CHECK(lag.on_peer_versions(own, {6, 100}, start + 200ms) == none);
+        CHECK(lag.on_peer_versions({6, 100}, {6, 100}, start + 400ms) == none);
+        CHECK(lag.on_peer_versions({6, 100}, {5, 90}, start + 1s) == none);
     }
     SUBCASE("once for each version")
     {
-        CHECK_FALSE(lag.on_peer_versions(own, {6, 100}, start));
-        CHECK(lag.on_peer_versions(own, {5, 100}, start + version_lag::tolerance));
-        CHECK_FALSE(lag.on_peer_versions(own, {6, 100}, start + 1s));
-        CHECK_FALSE(lag.on_peer_versions(own, {6, 100}, start + 2s));
-        CHECK_FALSE(lag.on_peer_versions(own, {6, 101}, start + 3s));
-        CHECK(lag.on_peer_versions(own, {6, 101}, start + 4s));
+        CHECK(lag.on_peer_versions(own, {6, 100}, start) == none);
+        CHECK(lag.on_peer_versions(own, {5, 100}, start + version_lag::tolerance) == configuration);
+        CHECK(lag.on_peer_versions(own, {6, 100}, start + 1s) == none);
+        CHECK(lag.on_peer_versions(own, {6, 100}, start + 2s) == none);
+        CHECK(lag.on_peer_versions(own, {6, 101}, start + 3s) == none);
+        CHECK(lag.on_peer_versions(own, {6, 101}, start + 4s) == endpoints);
     }
 }
 
