Store client: limit pauses of an answer rather than its whole transfer

A router behind a slow link was never ready, or kept an old configuration and reported the store as lost.

Cause: one deadline covered the wait for an answer and its transfer. A configuration that takes longer than that over the router's link was given up each time, and the next read began from the start.

Change: response_limits separates the time to the first byte, the longest pause after it, and the whole.

--- a/include/fulmaryard/http_client.hpp
+++ b/include/fulmaryard/http_client.hpp
@@ -2,6 +2,7 @@
 #define FULMARYARD_HTTP_CLIENT_HPP
 
 #include <fulmaryard/http_message.hpp>
+#include <fulmaryard/response_limits.hpp>
 
 #include <absl/status/statusor.h>
 
@@ -45,14 +46,17 @@
     /// out to be closed before any byte of the response arrives, the request is sent once more on
     /// a new connection.
     ///
-    /// `transfer`, if given, is kept up to date while the exchange runs. An exchange that is
-    /// cancelled through it fails with `endpoint_lost`.
-    ///
     /// Pass a named object as `request`: g++ 12 makes a bitwise copy of a braced temporary inside a
     /// co_await expression, so that its strings are freed twice.
+    boost::asio::awaitable<absl::StatusOr<http_response>>
+    send(http_request request, std::chrono::milliseconds deadline, reuse policy = reuse::allowed);
+
+    /// The same with limits that depend on the progress of the response. `transfer`, if given, is
+    /// kept up to date while the exchange runs. An exchange that is cancelled through it fails with
+    /// `endpoint_lost`.
     boost::asio::awaitable<absl::StatusOr<http_response>> send(
-        http_request request, std::chrono::milliseconds deadline, reuse policy = reuse::allowed,
-        std::shared_ptr<http_transfer> transfer = nullptr);
+        http_request request, response_limits limits, reuse policy,
+        std::shared_ptr<http_transfer> transfer);
 
     const std::string& address() const;
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -55,6 +56,26 @@
     beast::flat_buffer m_buffer{max_buffered_bytes};
 };
 
+/// `response_limits` from the start of one exchange on.
+struct exchange_deadlines
+{
+    using time_point = std::chrono::steady_clock::time_point;
+
+    exchange_deadlines(time_point start, response_limits limits)
+        : m_first_byte(start + std::min(limits.m_first_byte, limits.m_total)),
+          m_end(start + limits.m_total),
+          m_stall(limits.m_stall)
+    {
+    }
+
+    /// Deadline of the next read after bytes of the response were read at `now`.
+    time_point next_read(time_point now) const { return std::min(m_end, now + m_stall); }
+
+    time_point m_first_byte;
+    time_point m_end;
+    std::chrono::milliseconds m_stall;
+};
+
 /// The result of sending a request on one connection.
 struct attempt_result
 {
@@ -118,17 +139,20 @@
     /// Reads one response, recording its progress in `transfer` unless that is null.
     static asio::awaitable<beast::error_code> read_response(
         pooled_connection& connection, http::response_parser<http::string_body>& parser,
-        http_transfer* transfer)
+        const exchange_deadlines& deadlines, http_transfer* transfer)
     {
         parser.eager(true);
         while (!parser.is_done())
         {
             const auto [error, size] = co_await http::async_read_some(
                 connection.m_stream, connection.m_buffer, parser, use_tuple);
+            const auto now = std::chrono::steady_clock::now();
             if (transfer != nullptr)
-                transfer->on_received(size, std::chrono::steady_clock::now());
+                transfer->on_received(size, now);
             if (error)
                 co_return error;
+            if (size > 0)
+                connection.m_stream.expires_at(deadlines.next_read(now));
         }
         co_return beast::error_code{};
     }
@@ -136,9 +160,9 @@
     /// Writes the request and reads the response. Runs on the strand of `connection`.
     asio::awaitable<attempt_result> exchange(
         pooled_connection& connection, const http::request<http::string_body>& message,
-        std::chrono::steady_clock::time_point deadline, http_transfer* transfer)
+        const exchange_deadlines& deadlines, http_transfer* transfer)
     {
-        connection.m_stream.expires_at(deadline);
+        connection.m_stream.expires_at(deadlines.m_first_byte);
         const auto [write_error, written] =
             co_await http::async_write(connection.m_stream, message, use_tuple);
         if (write_error)
@@ -152,7 +176,8 @@
             parser->body_limit(m_max_response_bytes);
             if (message.method() == http::verb::head)
                 parser->skip(true);
-            const auto read_error = co_await read_response(connection, *parser, transfer);
+            const auto read_error =
+                co_await read_response(connection, *parser, deadlines, transfer);
             if (read_error)
             {
                 const bool nothing_read =
@@ -183,8 +208,8 @@
     /// Runs `exchange` on the strand of `connection`.
     asio::awaitable<attempt_result> exchange_on_strand(
         const std::shared_ptr<pooled_connection>& connection,
-        const http::request<http::string_body>& message,
-        std::chrono::steady_clock::time_point deadline, http_transfer* transfer)
+        const http::request<http::string_body>& message, const exchange_deadlines& deadlines,
+        http_transfer* transfer)
     {
         const auto executor = connection->m_stream.get_executor();
         if (transfer != nullptr)
@@ -204,7 +229,7 @@
                 co_return attempt_result{cancelled_failure(), false, false};
         }
         co_return co_await asio::co_spawn(
-            executor, exchange(*connection, message, deadline, transfer), asio::use_awaitable);
+            executor, exchange(*connection, message, deadlines, transfer), asio::use_awaitable);
     }
 };
 
@@ -226,12 +251,19 @@
     return m_state->m_address;
 }
 
+asio::awaitable<absl::StatusOr<http_response>>
+http_client::send(http_request request, std::chrono::milliseconds deadline, reuse policy)
+{
+    const response_limits limits{deadline, deadline, deadline};
+    co_return co_await send(std::move(request), limits, policy, nullptr);
+}
+
 asio::awaitable<absl::StatusOr<http_response>> http_client::send(
-    http_request request, std::chrono::milliseconds deadline, reuse policy,
+    http_request request, response_limits limits, reuse policy,
     std::shared_ptr<http_transfer> transfer)
 {
     const auto self = m_state;
-    const auto expiry = std::chrono::steady_clock::now() + deadline;
+    const exchange_deadlines deadlines(std::chrono::steady_clock::now(), limits);
     http::request<http::string_body> message;
     message.version(11);
     message.method_string(request.m_method);
@@ -246,7 +278,7 @@
         if (auto connection = self->take_idle())
         {
             auto result =
-                co_await self->exchange_on_strand(connection, message, expiry, transfer.get());
+                co_await self->exchange_on_strand(connection, message, deadlines, transfer.get());
             if (result.m_reusable)
                 self->put_idle(std::move(connection));
             // A connection can stop responding without being closed. The other pooled connections
@@ -258,10 +290,11 @@
                 co_return std::move(result.m_response);
         }
     }
-    auto connection = co_await self->connect(expiry);
+    auto connection = co_await self->connect(deadlines.m_first_byte);
     if (!connection.ok())
         co_return connection.status();
-    auto result = co_await self->exchange_on_strand(*connection, message, expiry, transfer.get());
+    auto result =
+        co_await self->exchange_on_strand(*connection, message, deadlines, transfer.get());
     if (result.m_reusable)
         self->put_idle(std::move(*connection));
     co_return std::move(result.m_response);
--- a/tests/process/router_test.cpp
+++ b/tests/process/router_test.cpp
@@ -606,4 +606,30 @@
     CHECK(wait_until([&] { return in_force("key-11"); }, config_apply_time));
 }
 
+TEST_CASE("a configuration whose transfer takes longer than the store may take to answer")
+{
+    // Guards against a router that gives up an answer that arrives steadily, and so never has a
+    // configuration.
+    constexpr std::int64_t link_bytes_per_s = 400'000;
+    constexpr int idle_routes = 5'000; // Takes about 2.5 s over the link.
+    constexpr auto transfer_time = 2'500ms;
+    constexpr auto config_apply_time = 3'000ms;
+    router_system system;
+    system.control({{"idle_routes", idle_routes}, {"keys", json::array{"secret"}}});
+    system.use_slow_link("router-1", link_bytes_per_s);
+    system.start_router("router-1");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    system.control({{"keys", json::array{"secret", "new"}}});
+    CHECK(wait_until(
+        [&]
+        {
+            const auto response =
+                test_client(system.address("router-1"))
+                    .send(router_system::make_request("GET", "/look/1", "call-1", "new"));
+            return response.ok() && response->m_status == 200;
+        },
+        transfer_time + config_apply_time));
+    CHECK(system.process("router-1").output().find("store_lost") == std::string::npos);
+}
+
 TEST_SUITE_END();
