--- a/tests/process/router_test.cpp
+++ b/tests/process/router_test.cpp
@@ -632,4 +632,37 @@
     CHECK(system.process("router-1").output().find("store_lost") == std::string::npos);
 }
 
+TEST_CASE("a router that missed more versions than one answer of the store may hold")
+{
+    // Guards against a router that reads every version that it missed, each as a whole, and fails.
+    constexpr std::int64_t link_bytes_per_s = 20'000'000 / 8;
+    constexpr int idle_routes = 5'000; // A configuration of close to 1 MB.
+    constexpr auto config_apply_time = 3'000ms;
+    router_system system;
+    system.control({{"idle_routes", idle_routes}, {"keys", json::array{"secret"}}});
+    system.use_slow_link("router-1", link_bytes_per_s);
+    system.start_router("router-1");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    system.control({{"store_down", true}});
+    REQUIRE(wait_until(
+        [&]
+        { return system.process("router-1").output().find("store_lost") != std::string::npos; }));
+    for (int version = 0; version < 20; ++version)
+    {
+        system.control(
+            {{"keys", json::array{"secret", fmt::format("key-{}", version)}},
+             {"store_down", true}});
+    }
+    system.control({{"store_down", false}});
+    CHECK(wait_until(
+        [&]
+        {
+            const auto response =
+                test_client(system.address("router-1"))
+                    .send(router_system::make_request("GET", "/look/1", "call-1", "key-19"));
+            return response.ok() && response->m_status == 200;
+        },
+        config_apply_time));
+}
+
 TEST_SUITE_END();
