Routers: ask again for a version that a failed read did not bring

Cause: a version that others knew was asked for once. If that read failed, or fell into a pause of the feed, nothing started another one until a still newer version was told; the last version of a series could be missing for long. What was asked for once stood in for what had been read, because a listing does not show removals, so that a router could seem to be behind forever.

Change: a router that is still behind reads again after 1 s, then after twice as long, up to 8 s. For the endpoints the versions of others are compared with the revision up to which they were read, which covers removals.

--- a/include/fulmaryard/platform_listener.hpp
+++ b/include/fulmaryard/platform_listener.hpp
@@ -24,8 +24,9 @@
     virtual void on_endpoints_listed(const std::vector<endpoint_record>& records) = 0;
     virtual void on_endpoint_changed(const endpoint_record& record) = 0;
     virtual void on_endpoint_removed(const std::string& id) = 0;
-    /// The newest change that the last call about endpoints contained has this revision.
-    virtual void on_endpoints_revision(std::uint64_t revision) = 0;
+    /// The newest change that the last call about endpoints contained has the revision `newest`, or
+    /// 0 if it contained none; the call covers all changes up to `read_to`.
+    virtual void on_endpoints_revision(std::uint64_t newest, std::uint64_t read_to) = 0;
     /// `addresses` are the datagram addresses of all routers, including this one.
     virtual void on_router_addresses(const std::vector<std::string>& addresses) = 0;
     /// A call to the store failed. Not repeated for further failures before `on_store_recovered`.
--- a/include/fulmaryard/version_lag.hpp
+++ b/include/fulmaryard/version_lag.hpp
@@ -21,18 +21,24 @@
     /// Routers learn of a change within this time of each other.
     static constexpr std::chrono::milliseconds tolerance{300};
 
+    /// A router that is still behind reads again after this time, and then after twice as long each
+    /// time.
+    static constexpr std::chrono::milliseconds min_repeat{1'000};
+    static constexpr std::chrono::milliseconds max_repeat{8'000};
+
     /// Records the versions that another router knows. Returns the parts of the state in which this
-    /// router, which knows `own`, has been behind for `tolerance` and which it should read again.
-    /// Returns each newer version once.
+    /// router, which has read up to `own`, has been behind for `tolerance` and which it should read
+    /// again. Returns them again while the reads do not succeed.
     lagging_state on_peer_versions(known_versions own, known_versions peer, time_point now);
 
 private:
     /// How far this router is behind in one part of the state.
     struct part_lag
     {
-        std::uint64_t m_checked{0}; ///< Version for which the store was read again.
-        std::uint64_t m_newest{0};  ///< Newest version of other routers since `m_behind_since`.
-        std::optional<time_point> m_behind_since{};
+        std::uint64_t m_newest{0}; ///< Newest version of other routers while behind.
+        std::uint64_t m_own{0};    ///< What this router had read when the next read was set.
+        std::optional<time_point> m_next_read{}; ///< nullopt: not behind.
+        std::chrono::milliseconds m_repeat{min_repeat};
 
         bool on_peer_version(std::uint64_t own, std::uint64_t peer, time_point now);
     };
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -134,6 +134,9 @@
     std::function<void()> m_on_capacity; ///< Called when capacity may have become free.
     std::function<void()> m_on_suspect;  ///< Called when an endpoint becomes suspected.
     known_versions m_versions;
+    /// Store revision up to which the endpoints were read. It may be newer than the newest change
+    /// that was seen: a listing does not show removals.
+    std::uint64_t m_endpoints_read_to{0};
     /// Whether this router is one of the few that poll the lease on orders and watch the store
     /// closely; the others are told of newer versions. Reads of the store then grow slower than the
     /// number of routers.
--- a/src/router_gossip.cpp
+++ b/src/router_gossip.cpp
@@ -179,7 +179,8 @@
 void router_gossip::on_peer_versions(const std::string& router, known_versions versions)
 {
     const auto now = std::chrono::steady_clock::now();
-    const auto lagging = m_version_lag.on_peer_versions(m_core.m_versions, versions, now);
+    const known_versions own{m_core.m_versions.m_configuration, m_core.m_endpoints_read_to};
+    const auto lagging = m_version_lag.on_peer_versions(own, versions, now);
     if (!lagging.any() || !m_core.m_refresh)
         return;
     log_event(log_level::info, "store_read_again")
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -24,6 +24,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <tuple>
@@ -195,11 +196,12 @@
         m_core.m_membership.on_removed(id, steady::now());
     }
 
-    void on_endpoints_revision(std::uint64_t revision) override
+    void on_endpoints_revision(std::uint64_t newest, std::uint64_t read_to) override
     {
-        if (revision <= m_core.m_versions.m_endpoints)
+        m_core.m_endpoints_read_to = std::max(m_core.m_endpoints_read_to, read_to);
+        if (newest <= m_core.m_versions.m_endpoints)
             return;
-        m_core.m_versions.m_endpoints = revision;
+        m_core.m_versions.m_endpoints = newest;
         if (m_core.m_is_store_reader)
             m_gossip.send_soon();
     }
--- a/src/version_lag.cpp
+++ b/src/version_lag.cpp
@@ -7,18 +7,23 @@
 
 bool version_lag::part_lag::on_peer_version(std::uint64_t own, std::uint64_t peer, time_point now)
 {
-    const auto known = std::max(own, m_checked);
-    if (m_behind_since && m_newest <= known)
-        m_behind_since.reset();
-    if (peer > known)
+    m_newest = std::max(m_newest, peer);
+    if (m_newest <= own)
     {
-        m_newest = m_behind_since ? std::max(m_newest, peer) : peer;
-        m_behind_since = m_behind_since.value_or(now);
+        m_newest = 0;
+        m_next_read.reset();
+        return false;
+    }
+    if (!m_next_read || own != m_own)
+    {
+        m_next_read = m_next_read.value_or(now + tolerance);
+        m_own = own;
+        m_repeat = min_repeat;
     }
-    if (!m_behind_since || now - *m_behind_since < tolerance)
+    if (now < *m_next_read)
         return false;
-    m_checked = std::max(m_checked, m_newest);
-    m_behind_since.reset();
+    m_next_read = now + m_repeat;
+    m_repeat = std::min(2 * m_repeat, max_repeat);
     return true;
 }
 
--- a/tests/unit/router_state_test.cpp
+++ b/tests/unit/router_state_test.cpp
@@ -209,14 +209,35 @@
         CHECK(lag.on_peer_versions({6, 100}, {6, 100}, start + 400ms) == none);
         CHECK(lag.on_peer_versions({6, 100}, {5, 90}, start + 1s) == none);
     }
-    SUBCASE("once for each version")
+    SUBCASE("in the part that is behind")
     {
         CHECK(lag.on_peer_versions(own, {6, 100}, start) == none);
         CHECK(lag.on_peer_versions(own, {5, 100}, start + version_lag::tolerance) == configuration);
-        CHECK(lag.on_peer_versions(own, {6, 100}, start + 1s) == none);
-        CHECK(lag.on_peer_versions(own, {6, 100}, start + 2s) == none);
-        CHECK(lag.on_peer_versions(own, {6, 101}, start + 3s) == none);
-        CHECK(lag.on_peer_versions(own, {6, 101}, start + 4s) == endpoints);
+        CHECK(lag.on_peer_versions({6, 100}, {6, 101}, start + 3s) == none);
+        CHECK(lag.on_peer_versions({6, 100}, {6, 101}, start + 4s) == endpoints);
+    }
+    SUBCASE("again while the reads do not succeed, at growing intervals")
+    {
+        CHECK(lag.on_peer_versions(own, {6, 100}, start) == none);
+        const auto first = start + version_lag::tolerance;
+        CHECK(lag.on_peer_versions(own, {6, 100}, first) == configuration);
+        CHECK(lag.on_peer_versions(own, {6, 100}, first + version_lag::min_repeat / 2) == none);
+        CHECK(
+            lag.on_peer_versions(own, {6, 100}, first + version_lag::min_repeat) == configuration);
+        CHECK(lag.on_peer_versions(own, {6, 100}, first + version_lag::min_repeat * 2) == none);
+        CHECK(
+            lag.on_peer_versions(own, {6, 100}, first + version_lag::min_repeat * 3) ==
+            configuration);
+
+        SUBCASE("and from the start after a read that did")
+        {
+            const auto later = first + version_lag::min_repeat * 4;
+            CHECK(lag.on_peer_versions({6, 100}, {6, 100}, later) == none);
+            CHECK(lag.on_peer_versions({6, 100}, {7, 100}, later) == none);
+            CHECK(
+                lag.on_peer_versions({6, 100}, {7, 100}, later + version_lag::tolerance) ==
+                configuration);
+        }
     }
 }
 
