Store feed: count the delay between reads from the begin of an answer

Cause: the delay that lets one call return several changes began after the transfer.

Change: calls are the delay apart, counted from the first byte of an answer.

Result: the new section of the unit test of store_read_schedule; there is no such function before.

--- a/include/fulmaryard/store_read_schedule.hpp
+++ b/include/fulmaryard/store_read_schedule.hpp
@@ -3,9 +3,9 @@
 
 #include <fulmaryard/store_read.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <optional>
 
 namespace fulmaryard
 {
@@ -33,6 +33,15 @@
 
     explicit store_read_schedule(need needed) : m_need(needed) {}
 
+    /// When the next call may be made after an answer that began to arrive at `answer_began` and
+    /// ended at `now`. Changes come in bursts, so calls are `interval` apart; a transfer that takes
+    /// longer is not followed by a further delay, during which another version might be missed.
+    static time_point
+    next_call_time(time_point answer_began, time_point now, std::chrono::milliseconds interval)
+    {
+        return std::max(now, answer_began + interval);
+    }
+
     /// The call to make at `now`. Nothing can be watched before the first listing.
     store_read::call_kind next_call(time_point now) const;
 
--- a/tests/unit/store_read_schedule_test.cpp
+++ b/tests/unit/store_read_schedule_test.cpp
@@ -60,6 +60,17 @@
     }
 }
 
+TEST_CASE("the delay between reads of a slow transfer")
+{
+    // Guards against a version that is read late because a delay for bursts follows a transfer that
+    // has itself taken longer than a burst.
+    const auto next = [](auto took)
+    { return store_read_schedule::next_call_time(start, start + took, 800ms); };
+    CHECK(next(10ms) == start + 800ms);
+    CHECK(next(300ms) == start + 800ms);
+    CHECK(next(2s) == start + 2s);
+}
+
 TEST_CASE("reads of objects of which every change matters")
 {
     // Guards against a listing of all endpoints for each of their changes.
