Entries: limit pauses of a configuration from a peer rather than its whole transfer

Change: response_limits for the fetch: 1 s to the first byte, 1 s of pause, 8 s in all, the time in which a configuration has to be active.

The deadline of the fetch itself has no test of its own.

--- a/src/configuration_follower.cpp
+++ b/src/configuration_follower.cpp
@@ -30,9 +30,13 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds fetch_deadline{1000};
+// A fetch from a peer that does not answer ends within a second, so that another peer is asked. One
+// that brings bytes may go on for as long as a configuration may take to be active.
+constexpr response_limits fetch_limits{
+    std::chrono::milliseconds(1000), std::chrono::milliseconds(1000),
+    std::chrono::milliseconds(8000)};
 constexpr std::chrono::milliseconds initial_backoff{100};
-// With the deadline above and doubling backoff, all attempts at a peer that fails fast end within
+// With the limits above and doubling backoff, all attempts at a peer that fails fast end within
 // the 8 s in which a configuration must be active. A later announcement of the same generation
 // restarts the count.
 constexpr int max_attempts = 5;
@@ -51,7 +55,8 @@
     request.m_fields = {{"Content-Type", "application/json"}};
     request.m_body = make_json_rpc_request(
         "configuration.get", json::serialize(json::object{{"known", base->m_generation}}));
-    const auto response = co_await client.send(std::move(request), fetch_deadline);
+    const auto response = co_await client.send(
+        std::move(request), fetch_limits, http_client::reuse::new_connection, nullptr);
     if (!response.ok())
         co_return response.status();
     if (response->m_status != 200)
