Log the shared parts of the prompt of an attempt that broke off, and whether its answer had begun

Cause: the logs could not relate the end of an endpoint to what the request held, nor tell a request that was being answered when its endpoint ended from one that waited there.

No logic changed.

--- a/include/fulmaryard/routed_call.hpp
+++ b/include/fulmaryard/routed_call.hpp
@@ -24,6 +24,8 @@
     std::uint64_t m_max_answer_tokens{0};
     std::uint64_t m_expected_answer_tokens{0}; ///< The caller's estimate; 0: not given.
     std::string m_prompt_prefix; ///< Prompt prefix that the caller names; the same when it retries.
+    /// Ids of the parts of the prompt that other requests share, in order; empty if none are named.
+    std::vector<std::string> m_shared_parts;
     std::optional<std::uint64_t> m_resume_after; ///< Last event id that the caller has.
     http_request m_request; ///< As received, without hop-by-hop fields and the key.
 
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -406,6 +406,7 @@
 asio::awaitable<stream_session::attempt_outcome> stream_session::attempt()
 {
     ++m_attempt_count;
+    m_answer_began = false;
     m_abandoned = false;
     m_repath_count = 0;
     m_sent = steady::now();
@@ -493,6 +494,7 @@
     }
     if (head.m_status < 200 || head.m_status >= 300 || !head.m_signed)
         co_return co_await relay_failure(std::move(head));
+    m_answer_began = true;
     for (const auto& hop : m_path)
         m_core.m_refusals.on_accepted(hop.m_endpoint);
     co_return co_await relay_events(std::move(head));
@@ -607,6 +609,8 @@
         .with("reason", reason)
         .with("path", describe(m_path))
         .with("events", m_event_count)
+        .with("answer_began", m_answer_began)
+        .with("shared_parts", fmt::format("{}", fmt::join(m_accepted.m_call.m_shared_parts, ",")))
         .with("caller_left", m_client_disconnected);
 }
 
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -135,6 +135,7 @@
     std::uint32_t m_interrupted_send_count{0};    ///< Of these, interrupted by endpoint loss.
     std::uint32_t m_attempt_count{0};  ///< All attempts, including those that reached no endpoint.
     bool m_client_disconnected{false}; ///< The caller has disconnected.
+    bool m_answer_began{false};        ///< The current attempt was answered with success so far.
     bool m_abandoned{false};           ///< The current attempt was aborted by this router.
     bool m_is_retry{false};            ///< The caller retries after a refusal with Retry-After.
     bool m_responded{false};           ///< A response to the caller has begun.
--- a/tests/unit/wire_protocol_test.cpp
+++ b/tests/unit/wire_protocol_test.cpp
@@ -56,6 +56,7 @@
     CHECK(call->m_prompt_tokens == 1460);
     CHECK(call->m_max_answer_tokens == 80);
     CHECK(call->m_expected_answer_tokens == 40);
+    CHECK(call->m_shared_parts == std::vector<std::string>{"5c1e07a2"});
     CHECK_FALSE(call->m_resume_after);
 
     SUBCASE("rejects a request without an attempt id")
