--- a/tests/standins/pipeline_main.cpp
+++ b/tests/standins/pipeline_main.cpp
@@ -39,6 +39,8 @@
 constexpr auto stall_timeout = 3s;
 // Time that routers have to stop sending to an endpoint that is leaving.
 constexpr auto drain_grace_period = 2s;
+// Time from the crash of an endpoint to its restart.
+constexpr auto crash_down_time = 2s;
 constexpr std::size_t journal_limit = 100'000;
 
 std::uint64_t unix_ms()
@@ -286,12 +288,17 @@
         const auto found = m_runs.find(call);
         return found == m_runs.end() ? 0 : static_cast<std::int64_t>(found->second);
     }
-    void note_arrival(const std::string& call);
+    void note_arrival(const std::string& call, const http_request& request);
     /// True if endpoints currently refuse the call as not run.
     bool refuses_call(const std::string& call) const;
     /// Records a call that reached an endpoint `after` its drain began, if the grace period is
     /// over.
     void note_late_arrival(std::chrono::milliseconds after);
+    /// Ends the endpoint that began to answer a call whose prompt holds the part that crashes
+    /// endpoints, and starts it again later.
+    void crash(endpoint_standin& endpoint);
+    /// Whether the prompt of a call holds that part.
+    bool crashes(const http_request& request) const;
     /// A deliberate fault of this stand-in, used to show that a check detects it.
     bool has_defect(std::string_view name) const { return m_defect == name; }
     /// Counts a path whose hops do not cover all layers in order.
@@ -313,8 +320,11 @@
 
     std::vector<std::unique_ptr<endpoint_standin>> m_endpoints;
     std::map<std::string, int> m_runs;
-    std::map<std::string, int> m_arrivals;     ///< Includes refused calls.
-    std::vector<std::int64_t> m_late_arrivals; ///< Unix time in milliseconds.
+    std::map<std::string, int> m_arrivals;      ///< Includes refused calls.
+    std::vector<std::int64_t> m_late_arrivals;  ///< Unix time in milliseconds.
+    std::string m_crash_part;                   ///< Part of a prompt that crashes endpoints.
+    std::vector<std::int64_t> m_crash_times;    ///< Unix time in milliseconds.
+    std::vector<std::int64_t> m_crash_arrivals; ///< Of calls with that part, likewise.
     std::vector<std::string> m_keys{"secret"};
     std::uint64_t m_idle_routes{0}; ///< Routes that no request uses, for a large configuration.
     std::string m_defect;
@@ -371,7 +381,7 @@
     else
     {
         const std::string call(find_field(request.m_fields, "Fulmaryard-Attempt-Id").value_or(""));
-        m_system.note_arrival(call);
+        m_system.note_arrival(call, request);
         if (m_draining)
         {
             m_system.note_late_arrival(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -509,6 +519,11 @@
     fields.push_back({"Content-Type", "text/event-stream"});
     http_response head{200, std::move(fields), {}};
     std::ignore = co_await exchange.begin_chunked(std::move(head));
+    if (m_system.crashes(request))
+    {
+        co_await sleep_for(event_interval);
+        m_system.crash(*this);
+    }
     while (!stopped && last < events)
     {
         do
@@ -640,8 +655,28 @@
         ++m_runs[call];
 }
 
-void pipeline_standin::note_arrival(const std::string& call)
+bool pipeline_standin::crashes(const http_request& request) const
+{
+    const auto parts = find_field(request.m_fields, "Fulmaryard-Prompt-Prefix").value_or("");
+    return !m_crash_part.empty() && parts.find(m_crash_part) != std::string_view::npos;
+}
+
+void pipeline_standin::crash(endpoint_standin& endpoint)
+{
+    m_crash_times.push_back(static_cast<std::int64_t>(unix_ms()));
+    endpoint.kill();
+    const auto restart = [this, id = endpoint.id()]() -> asio::awaitable<void>
+    {
+        co_await sleep_for(crash_down_time);
+        restart_endpoint(id);
+    };
+    asio::co_spawn(m_io, restart, asio::detached);
+}
+
+void pipeline_standin::note_arrival(const std::string& call, const http_request& request)
 {
+    if (crashes(request))
+        m_crash_arrivals.push_back(static_cast<std::int64_t>(unix_ms()));
     if (m_arrivals.size() < journal_limit)
         ++m_arrivals[call];
 }
@@ -697,6 +732,8 @@
             200, json::object{
                      {"runs", std::move(runs)},
                      {"arrivals", std::move(arrivals)},
+                     {"crash_times", json::value_from(m_crash_times)},
+                     {"crash_arrivals", json::value_from(m_crash_arrivals)},
                      {"late_arrivals", json::value_from(m_late_arrivals)},
                      {"wrong_paths", m_incomplete_paths}});
     }
@@ -725,6 +762,8 @@
     m_store_delay = std::chrono::milliseconds(number_of(order, "store_delay_ms", 0));
     if (flag_of(order, "drop_history"))
         m_objects.drop_history();
+    if (order.contains("crash_part"))
+        m_crash_part = text_of(order, "crash_part");
     if (order.contains("defect"))
         m_defect = text_of(order, "defect");
     m_idle_routes = number_of(order, "idle_routes", m_idle_routes);
