Routers: quarantine parts of prompts under which endpoints crash

Cause: the end of an endpoint was taken for a fault of the endpoint alone. Nothing related it to what the request held, so each such request went on to further endpoints, and so did the next ones, at every router.

Change: prompt_quarantine. When an endpoint ends as it begins to answer, which a query to it confirms, that is evidence against the shared parts of the prompt; an answer that goes on is evidence for them. After three crashes without an answer that a sound part would hardly show by chance, requests with the part are refused at once, those that wait included. Routers tell each other of crashes and answers. After 30 s one router sends one request as a trial. A request that crashed its endpoint is sent to another only if its parts were answered lately.

--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -174,6 +174,20 @@
     }
 }
 
+void router_core::note_quarantine(
+    const prompt_quarantine::part_list& parts, std::string_view source)
+{
+    if (parts.empty())
+        return;
+    for (const auto& part : parts)
+        log_event(log_level::warning, "prompt_part_quarantined")
+            .with("part", part)
+            .with("source", source);
+    m_metrics.counter("fulmaryard_router_quarantined_parts_total").add(parts.size());
+    if (m_on_suspect)
+        m_on_suspect();
+}
+
 void router_core::clear_suspicion(const std::string& id)
 {
     if (m_health.clear(id))
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -14,6 +14,7 @@
 #include <fulmaryard/lagging_state.hpp>
 #include <fulmaryard/metrics.hpp>
 #include <fulmaryard/path_candidate.hpp>
+#include <fulmaryard/prompt_quarantine.hpp>
 #include <fulmaryard/retry_budget.hpp>
 #include <fulmaryard/router_settings.hpp>
 #include <fulmaryard/routing_table.hpp>
@@ -94,6 +95,9 @@
         const std::string& id, std::string_view reason,
         suspicion_cause cause = suspicion_cause::failure);
 
+    /// Logs parts of prompts that are quarantined since now, and tells the other routers.
+    void note_quarantine(const prompt_quarantine::part_list& parts, std::string_view source);
+
     /// Suspects the endpoint because a call to it failed with `status`.
     void suspect_after(const std::string& id, const absl::Status& status);
 
@@ -125,6 +129,9 @@
     endpoint_reservations m_reservations;
     channel_pool m_channels;
     wait_queue m_wait_queue;
+    prompt_quarantine m_quarantine;
+    /// Whether this router sends the trial of a quarantined part of a prompt.
+    prompt_quarantine::trial_owner m_owns_trial{[](const std::string&) { return true; }};
     /// Layers that endpoints reported after their entry was written. By endpoint id, with the start
     /// time (milliseconds) of the endpoint's process.
     std::map<std::string, std::pair<std::uint64_t, layer_range>> m_reported_layers;
--- a/src/router_gossip.cpp
+++ b/src/router_gossip.cpp
@@ -1,4 +1,5 @@
 #include "router_gossip.hpp"
+#include "stable_hash_inl.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/failure.hpp>
@@ -49,7 +50,10 @@
 
 } // namespace
 
-router_gossip::router_gossip(router_core& core) : m_core(core), m_socket(core.m_io) {}
+router_gossip::router_gossip(router_core& core) : m_core(core), m_socket(core.m_io)
+{
+    m_core.m_owns_trial = [this](const std::string& part) { return is_first_by_hash(part); };
+}
 
 absl::Status router_gossip::open()
 {
@@ -106,19 +110,67 @@
     }
 }
 
-void router_gossip::update_store_reader(std::chrono::steady_clock::time_point now)
+std::vector<std::string> router_gossip::live_routers() const
 {
-    std::erase_if(
-        m_last_heard, [now](const auto& heard) { return now - heard.second > reader_silence; });
     std::vector<std::string> routers{m_core.m_settings.m_name};
     for (const auto& [name, time] : m_last_heard)
         routers.push_back(name);
-    const auto order = rendezvous_order(0, std::move(routers));
+    return routers;
+}
+
+bool router_gossip::is_first_by_hash(const std::string& text) const
+{
+    return rendezvous_order(stable_hash(text), live_routers()).front() == m_core.m_settings.m_name;
+}
+
+void router_gossip::update_store_reader(std::chrono::steady_clock::time_point now)
+{
+    std::erase_if(
+        m_last_heard, [now](const auto& heard) { return now - heard.second > reader_silence; });
+    const auto order = rendezvous_order(0, live_routers());
     const auto own = std::find(order.begin(), order.end(), m_core.m_settings.m_name);
     m_core.m_is_store_reader =
         static_cast<std::size_t>(std::distance(order.begin(), own)) < store_readers;
 }
 
+json::array router_gossip::encode_prompt_parts() const
+{
+    const auto encode_age = [](const std::optional<std::chrono::milliseconds>& age)
+    { return age ? json::value(age->count()) : json::value(nullptr); };
+    json::array parts;
+    for (const auto& report : m_core.m_quarantine.reports(std::chrono::steady_clock::now()))
+    {
+        json::object crashes;
+        for (const auto& [run, age] : report.m_crashes)
+            crashes[run] = age.count();
+        parts.push_back(json::array{
+            report.m_part, std::move(crashes), encode_age(report.m_answer),
+            encode_age(report.m_quarantine)});
+    }
+    return parts;
+}
+
+void router_gossip::decode_prompt_parts(const json::array& parts)
+{
+    const auto decode_age = [](const json::value& age)
+    {
+        return age.is_null()
+                   ? std::nullopt
+                   : std::optional(std::chrono::milliseconds(age.to_number<std::int64_t>()));
+    };
+    for (const auto& item : parts)
+    {
+        const auto& fields = item.as_array();
+        prompt_quarantine::report report{fields.at(0).as_string().c_str(), {}, {}, {}};
+        for (const auto& [run, age] : fields.at(1).as_object())
+            report.m_crashes[run] = std::chrono::milliseconds(age.to_number<std::int64_t>());
+        report.m_answer = decode_age(fields.at(2));
+        report.m_quarantine = decode_age(fields.at(3));
+        const auto now = std::chrono::steady_clock::now();
+        m_core.note_quarantine(m_core.m_quarantine.on_peer_report(report, now), "other router");
+    }
+}
+
 std::string router_gossip::encode() const
 {
     json::object use;
@@ -156,6 +208,7 @@
         {"silent", std::move(silent)},
         {"slow", std::move(slow)},
         {"refusing", std::move(refusing)},
+        {"prompt_parts", encode_prompt_parts()},
         {"layers", std::move(layers)}});
 }
 
@@ -242,6 +295,9 @@
             const std::chrono::milliseconds left(pair.at(1).to_number<std::int64_t>());
             m_core.m_refusals.on_peer_pause(pair.at(0).as_string().c_str(), now + left, now);
         }
+        // Routers of an earlier release do not send this field.
+        if (const auto* parts = message.if_contains("prompt_parts"))
+            decode_prompt_parts(parts->as_array());
         for (const auto& item : message.at("layers").as_array())
         {
             const auto& entry = item.as_array();
--- a/src/router_gossip.hpp
+++ b/src/router_gossip.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/json/array.hpp>
 
 #include <chrono>
 #include <map>
@@ -42,6 +43,13 @@
     boost::asio::awaitable<void> receive();
     /// Returns the state of this router as JSON.
     std::string encode() const;
+    /// What this router has observed of parts of prompts, as JSON, and the reverse.
+    boost::json::array encode_prompt_parts() const;
+    void decode_prompt_parts(const boost::json::array& parts);
+    /// Names of the routers that were heard lately, and of this one.
+    std::vector<std::string> live_routers() const;
+    /// Whether this router is the one of the live routers that takes care of `text`.
+    bool is_first_by_hash(const std::string& text) const;
     /// Applies the state of another router; logs a malformed message.
     void decode(std::string_view text);
 
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -492,6 +492,7 @@
             if (m_core.m_membership.on_tick(now))
                 log_event(log_level::info, "endpoints_expired");
             m_core.m_refusals.on_tick(now);
+            m_core.m_quarantine.on_tick(now);
             m_core.update_silent_domains(now);
             m_streams.on_tick(now);
             m_gossip.on_tick(now);
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace fulmaryard
@@ -124,6 +125,12 @@
 void router_streams::on_tick(time_point now)
 {
     std::erase_if(m_expected_retries, [now](const auto& retry) { return now > retry.second; });
+    if (std::exchange(m_quarantine_generation, m_core.m_quarantine.generation()) !=
+        m_core.m_quarantine.generation())
+    {
+        for (const auto& [id, session] : m_sessions)
+            session->on_quarantine();
+    }
     std::vector<std::uint64_t> ids;
     for (const auto& [id, session] : m_sessions)
         ids.push_back(id);
--- a/src/router_streams.hpp
+++ b/src/router_streams.hpp
@@ -59,6 +59,7 @@
     /// Callers that were asked to retry, by account and prompt prefix, with the time of expiry.
     std::map<std::pair<std::string, std::string>, time_point> m_expected_retries;
     std::uint64_t m_next_id{0};
+    std::uint64_t m_quarantine_generation{0}; ///< At the last tick.
     time_point m_last_tick;
 };
 
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -62,6 +62,10 @@
     /// limits on attempts or the retry budget do not permit another attempt.
     void abandon_attempt(std::string_view reason);
 
+    /// Ends the wait or the attempt if the prompt holds a part that is quarantined since, and no
+    /// endpoint has begun to answer.
+    void on_quarantine();
+
     /// Switches to `path` after the first endpoint of the stream has accepted the repath order.
     void on_repath(std::vector<path_hop> path);
 
@@ -87,6 +91,14 @@
     boost::asio::awaitable<attempt_outcome> relay_events(answer_head head);
     boost::asio::awaitable<attempt_outcome> relay_failure(answer_head head);
     boost::asio::awaitable<void> refuse(std::string_view reason);
+    /// Refuses a request whose prompt holds a quarantined part; it may be tried again after `wait`.
+    boost::asio::awaitable<void> refuse_quarantined(std::chrono::milliseconds wait);
+    /// Finds out whether the first endpoint, `run` of which began at `started_ms`, crashed as it
+    /// began to answer, and records that as evidence against the parts of the prompt.
+    boost::asio::awaitable<void> check_for_crash(std::uint64_t started_ms);
+    /// Records events of the current attempt. An endpoint that goes on after the first one does not
+    /// crash under this prompt.
+    void count_attempt_events(std::uint64_t events, bool complete);
     boost::asio::awaitable<void> fail_request(std::string_view reason);
     bool may_retry(attempt_outcome end);
     /// Reserves capacity on `path`. The endpoints in `prefilling` have to prefill the current
@@ -135,6 +147,10 @@
     std::uint32_t m_interrupted_send_count{0};    ///< Of these, interrupted by endpoint loss.
     std::uint32_t m_attempt_count{0};  ///< All attempts, including those that reached no endpoint.
     bool m_client_disconnected{false}; ///< The caller has disconnected.
+    std::uint64_t m_attempt_events{0}; ///< Events of the current attempt.
+    bool m_answer_counted{false};      ///< The current attempt counted as answered.
+    bool m_crashed{false};             ///< The last attempt crashed its first endpoint.
+    bool m_quarantined{false};         ///< A part of the prompt was quarantined meanwhile.
     bool m_answer_began{false};        ///< The current attempt was answered with success so far.
     bool m_abandoned{false};           ///< The current attempt was aborted by this router.
     bool m_is_retry{false};            ///< The caller retries after a refusal with Retry-After.
