Routers: heed what endpoints say of themselves in their answers

An endpoint that was shutting down, or that had refused a request with a time, went on to get new requests: neither header was read, and a refusal counted as a short lack of memory.

Change: the protocol translates Server-Leaving and the Retry-After of a 503 into endpoint_notice, for every answer: to a call, a query, an order, and to another call. endpoint_notices holds them by endpoint and run. New requests, second attempts, continuations, new paths and requests that wait for a connection leave such an endpoint out; the layers of one that leaves are moved. If no endpoint wants work, a call waits if that ends within half its objective, otherwise it is refused at once with the endpoints' own time, spread. What one router was told it does not pass on.

--- a/include/fulmaryard/endpoint_protocol.hpp
+++ b/include/fulmaryard/endpoint_protocol.hpp
@@ -4,6 +4,7 @@
 #include <fulmaryard/answer_head.hpp>
 #include <fulmaryard/call_target.hpp>
 #include <fulmaryard/endpoint_load.hpp>
+#include <fulmaryard/endpoint_notice.hpp>
 #include <fulmaryard/routed_call.hpp>
 
 #include <absl/status/statusor.h>
@@ -32,6 +33,10 @@
     virtual answer_head read_answer(
         const routed_call& call, unsigned status, const std::vector<http_field>& fields) const = 0;
 
+    /// What the endpoint says of itself in the head of any answer, to a call or to a query.
+    virtual endpoint_notice
+    read_notice(unsigned status, const std::vector<http_field>& fields) const = 0;
+
     /// Id of one complete event of a stream; `nullopt` if the event has none.
     virtual std::optional<std::uint64_t> event_id(std::string_view event) const = 0;
 
--- a/src/layer_controller.cpp
+++ b/src/layer_controller.cpp
@@ -1,7 +1,6 @@
 #include "layer_controller.hpp"
 #include "use_tuple_inl.hpp"
 
-#include <fulmaryard/endpoint_call.hpp>
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/layer_balancer.hpp>
 #include <fulmaryard/layer_placement.hpp>
@@ -363,10 +362,8 @@
             planned->second.m_started_ms != record->m_started_ms)
             break;
         const auto target = planned->second.m_target.m_layers;
-        const auto address = record->m_address;
         http_request query = m_core.m_protocol.write_load_query();
-        const auto response =
-            co_await call_endpoint(m_core.m_channels, address, std::move(query), endpoint_timeout);
+        const auto response = co_await m_core.call(endpoint, std::move(query), endpoint_timeout);
         record = m_core.find_endpoint(endpoint);
         if (record == nullptr)
             break;
@@ -392,8 +389,8 @@
         {
             m_core.m_metrics.counter("fulmaryard_router_layer_orders_total").add();
             http_request order = m_core.m_protocol.write_order(target, load->m_orders_begun);
-            const auto order_response = co_await call_endpoint(
-                m_core.m_channels, address, std::move(order), endpoint_timeout);
+            const auto order_response =
+                co_await m_core.call(endpoint, std::move(order), endpoint_timeout);
             log_event(log_level::info, "layers_ordered")
                 .with("endpoint", endpoint)
                 .with("layers", fmt::format("{}-{}", target.m_begin, target.m_end))
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -6,6 +6,8 @@
 #include <fulmaryard/metric_counter.hpp>
 #include <fulmaryard/metric_histogram.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -38,6 +40,10 @@
 // Time reserved before the caller's deadline for the response to reach the caller.
 constexpr std::chrono::milliseconds response_margin{40};
 
+// A call may wait for an endpoint that wants no work for some time until its latency objective
+// divided by this value has passed. The rest of the objective is for the call itself.
+constexpr int waiting_objective_divisor = 2;
+
 // Retry-After of a 503 response: expected time until an endpoint has capacity again.
 constexpr std::chrono::milliseconds refusal_retry_after{250};
 
@@ -75,6 +81,8 @@
         m_endpoint = m_core.choose_endpoint(m_accepted.m_service, m_tried_endpoints);
         if (m_endpoint.empty() && !m_tried_endpoints.empty())
             m_endpoint = m_core.choose_endpoint(m_accepted.m_service, {});
+        if (m_endpoint.empty() && co_await wait_until_work_is_wanted())
+            continue;
         if (m_endpoint.empty())
             co_return co_await finish(
                 m_may_have_run ? attempt_outcome::unknown : attempt_outcome::not_run);
@@ -97,6 +105,28 @@
     }
 }
 
+asio::awaitable<bool> plain_session::wait_until_work_is_wanted()
+{
+    const auto now = steady::now();
+    const auto wanted = m_core.work_wanted_at(m_accepted.m_service);
+    const auto latest = std::min(
+        m_accepted.m_arrival + m_accepted.m_route.m_latency_objective / waiting_objective_divisor,
+        m_accepted.m_end - response_margin);
+    if (!wanted || *wanted > latest || m_client_disconnected)
+        co_return false;
+    asio::steady_timer timer(m_core.m_io, *wanted + random_spread(latest - *wanted));
+    co_await timer.async_wait(use_tuple);
+    m_client_disconnected = m_client_disconnected || m_exchange.client_disconnected();
+    co_return !m_client_disconnected && steady::now() > now;
+}
+
+std::chrono::steady_clock::duration
+plain_session::random_spread(std::chrono::steady_clock::duration most)
+{
+    const auto limit = static_cast<std::uint64_t>(std::max<std::int64_t>(most.count(), 0)) + 1;
+    return steady::duration(static_cast<std::int64_t>(m_core.random_value() % limit));
+}
+
 bool plain_session::may_retry(attempt_outcome end)
 {
     if (m_attempt_count >= max_attempts || steady::now() + response_margin >= m_accepted.m_end)
@@ -159,6 +189,13 @@
             co_return attempt_outcome::not_run;
         }
     }
+    // The endpoint may have said meanwhile that it wants no more requests.
+    if (!m_core.may_send(m_endpoint))
+    {
+        m_core.m_channels.put(std::move(m_channel), steady::now());
+        co_return attempt_outcome::not_run;
+    }
+    const auto started_ms = record->m_started_ms;
     target.m_time_left = m_accepted.time_left(steady::now());
     const auto request = m_core.m_protocol.write_call(m_accepted.m_call, target);
     ++m_send_count;
@@ -183,6 +220,7 @@
             connection_stale = reused && kind_of(response.status()) == failure_kind::endpoint_lost;
             co_return attempt_outcome::unknown;
         }
+        m_core.note_answer(m_endpoint, started_ms, response->m_status, response->m_fields);
         absl::StatusOr<bool> body_incomplete = true;
         while (body_incomplete.ok() && *body_incomplete)
             body_incomplete = co_await m_channel->read_body(response->m_body, m_attempt_deadline);
@@ -206,6 +244,17 @@
     co_return attempt_outcome::unknown;
 }
 
+std::chrono::milliseconds plain_session::retry_after()
+{
+    const auto wanted = m_core.work_wanted_at(m_accepted.m_service);
+    if (!wanted)
+        return refusal_retry_after;
+    // The callers that were refused meanwhile come back spread over half as long again.
+    const auto wait = std::max(*wanted - steady::now(), steady::duration::zero());
+    return refusal_retry_after +
+           std::chrono::duration_cast<std::chrono::milliseconds>(wait + random_spread(wait / 2));
+}
+
 asio::awaitable<void> plain_session::finish(attempt_outcome end)
 {
     constexpr std::array outcome_names{"answered", "not_run", "unknown", "failed"};
@@ -229,7 +278,7 @@
     if (m_last_response && end != attempt_outcome::not_run)
         response = *std::move(m_last_response);
     else if (end == attempt_outcome::not_run)
-        response = m_core.m_protocol.refusal(m_accepted.m_call, 503, refusal_retry_after);
+        response = m_core.m_protocol.refusal(m_accepted.m_call, 503, retry_after());
     else
     {
         const bool deadline_passed = now >= m_attempt_deadline;
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -1,5 +1,6 @@
 #include "router_core.hpp"
 
+#include <fulmaryard/endpoint_call.hpp>
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/log.hpp>
 #include <fulmaryard/metric_counter.hpp>
@@ -78,15 +79,89 @@
 bool router_core::usable(const endpoint_record& record) const
 {
     const auto now = std::chrono::steady_clock::now();
-    if (record.m_leaving || m_health.failed(record.m_id, record.m_started_ms, now))
+    if (leaving(record) || m_health.failed(record.m_id, record.m_started_ms, now) ||
+        m_notices.no_work_until(record.m_id, record.m_started_ms, now))
         return false;
     return silence_set_aside(record) || !m_health.suspected(record.m_id, record.m_started_ms, now);
 }
 
+bool router_core::leaving(const endpoint_record& record) const
+{
+    return record.m_leaving || m_notices.leaving(record.m_id, record.m_started_ms);
+}
+
+bool router_core::may_send(const std::string& id) const
+{
+    const auto* record = find_endpoint(id);
+    return record == nullptr ||
+           (!leaving(*record) &&
+            !m_notices.no_work_until(id, record->m_started_ms, std::chrono::steady_clock::now()));
+}
+
+std::optional<router_core::time_point> router_core::work_wanted_at(const std::string& service) const
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::optional<time_point> earliest;
+    for (const auto& [id, record] : m_membership.endpoints())
+    {
+        // A path begins at an endpoint that holds the first layer; the others do not matter here.
+        if (record.m_service != service || layers_of(record).m_begin != 0)
+            continue;
+        if (usable(record))
+            return std::nullopt;
+        const auto until = m_notices.no_work_until(id, record.m_started_ms, now);
+        if (until && !leaving(record) && !m_health.failed(id, record.m_started_ms, now))
+            earliest = std::min(earliest.value_or(*until), *until);
+    }
+    return earliest;
+}
+
+void router_core::note_answer(
+    const std::string& id, std::uint64_t started_ms, unsigned status,
+    const std::vector<http_field>& fields)
+{
+    const auto notice = m_protocol.read_notice(status, fields);
+    if (!notice.m_unreadable.empty())
+    {
+        log_event(log_level::warning, "endpoint_notice_unreadable")
+            .with("endpoint", id)
+            .with("value", notice.m_unreadable);
+    }
+    if (!m_notices.on_notice(id, started_ms, notice, std::chrono::steady_clock::now()))
+        return;
+    m_metrics
+        .counter(
+            "fulmaryard_router_endpoint_notices_total",
+            notice.m_leaving ? "kind=\"leaving\"" : "kind=\"no_work\"")
+        .add();
+    log_event(log_level::info, "endpoint_notice")
+        .with("endpoint", id)
+        .with("started_ms", started_ms)
+        .with("leaving", notice.m_leaving)
+        .with("no_work_ms", notice.m_no_work_for.value_or(std::chrono::milliseconds(0)).count());
+}
+
+boost::asio::awaitable<absl::StatusOr<http_response>>
+router_core::call(std::string endpoint, http_request request, std::chrono::milliseconds timeout)
+{
+    const auto* record = find_endpoint(endpoint);
+    if (record == nullptr)
+    {
+        co_return make_failure(
+            failure_kind::endpoint_lost, "the endpoint is not listed", dispatch_progress::not_sent);
+    }
+    const auto started_ms = record->m_started_ms;
+    auto response =
+        co_await call_endpoint(m_channels, record->m_address, std::move(request), timeout);
+    if (response.ok())
+        note_answer(endpoint, started_ms, response->m_status, response->m_fields);
+    co_return response;
+}
+
 bool router_core::plannable(const endpoint_record& record) const
 {
     const auto now = std::chrono::steady_clock::now();
-    if (record.m_leaving || m_health.failed(record.m_id, record.m_started_ms, now))
+    if (leaving(record) || m_health.failed(record.m_id, record.m_started_ms, now))
         return false;
     return silence_set_aside(record) || !m_health.lost(record.m_id, record.m_started_ms, now);
 }
@@ -107,7 +182,7 @@
     std::map<std::pair<std::string, std::string>, domain_counts> domains;
     for (const auto& [id, record] : m_membership.endpoints())
     {
-        if (record.m_leaving || m_health.failed(id, record.m_started_ms, now))
+        if (leaving(record) || m_health.failed(id, record.m_started_ms, now))
             continue;
         auto& counts = domains[{record.m_service, record.m_failure_domain}];
         ++counts.m_endpoints;
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -6,6 +6,7 @@
 #include <fulmaryard/crossing_budget.hpp>
 #include <fulmaryard/endpoint_health.hpp>
 #include <fulmaryard/endpoint_membership.hpp>
+#include <fulmaryard/endpoint_notices.hpp>
 #include <fulmaryard/endpoint_protocol.hpp>
 #include <fulmaryard/endpoint_refusals.hpp>
 #include <fulmaryard/endpoint_reservations.hpp>
@@ -20,12 +21,16 @@
 #include <fulmaryard/routing_table.hpp>
 #include <fulmaryard/wait_queue.hpp>
 
+#include <absl/status/statusor.h>
+
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -80,6 +85,26 @@
     /// Whether new work may be sent to the endpoint.
     bool usable(const endpoint_record& record) const;
 
+    /// Whether the endpoint is shutting down, by its entry or by its own answers.
+    bool leaving(const endpoint_record& record) const;
+
+    /// Whether a request that was placed on the endpoint may still be sent to it.
+    bool may_send(const std::string& id) const;
+
+    /// When the first of the endpoints that want no requests for some time wants some again;
+    /// nullopt if an endpoint at which requests of the service begin is usable now, or none will
+    /// be.
+    std::optional<time_point> work_wanted_at(const std::string& service) const;
+
+    /// Records what the run of an endpoint that began at `started_ms` says of itself in an answer.
+    void note_answer(
+        const std::string& id, std::uint64_t started_ms, unsigned status,
+        const std::vector<http_field>& fields);
+
+    /// Sends a query or an order to an endpoint; fails with `endpoint_lost` if it is not listed.
+    boost::asio::awaitable<absl::StatusOr<http_response>>
+    call(std::string endpoint, http_request request, std::chrono::milliseconds timeout);
+
     /// Whether the endpoint may hold layers in the plan: it is not leaving and does not count as
     /// lost.
     bool plannable(const endpoint_record& record) const;
@@ -125,6 +150,7 @@
     std::shared_ptr<const routing_table> m_table; ///< nullptr until a configuration is known.
     endpoint_membership m_membership;
     endpoint_health m_health;
+    endpoint_notices m_notices;
     endpoint_refusals m_refusals;
     endpoint_reservations m_reservations;
     channel_pool m_channels;
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -7,7 +7,6 @@
 #include "stream_session.hpp"
 #include "use_tuple_inl.hpp"
 
-#include <fulmaryard/endpoint_call.hpp>
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/http_exchange.hpp>
 #include <fulmaryard/http_server.hpp>
@@ -493,6 +492,7 @@
                 log_event(log_level::info, "endpoints_expired");
             m_core.m_refusals.on_tick(now);
             m_core.m_quarantine.on_tick(now);
+            m_core.m_notices.on_tick(now);
             m_core.update_silent_domains(now);
             m_streams.on_tick(now);
             m_gossip.on_tick(now);
@@ -516,8 +516,7 @@
             co_return;
         }
         http_request query = m_core.m_protocol.write_load_query();
-        const auto response = co_await call_endpoint(
-            m_core.m_channels, record->m_address, std::move(query), probe_deadline);
+        const auto response = co_await m_core.call(endpoint, std::move(query), probe_deadline);
         if (!response.ok())
             co_return;
         m_core.clear_suspicion(endpoint);
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -2,7 +2,6 @@
 #include "stream_session.hpp"
 #include "use_tuple_inl.hpp"
 
-#include <fulmaryard/endpoint_call.hpp>
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/log.hpp>
 #include <fulmaryard/metric_counter.hpp>
@@ -176,7 +175,7 @@
         [&, this](const path_hop& hop)
         {
             const auto* record = m_core.find_endpoint(hop.m_endpoint);
-            if (record == nullptr || record->m_leaving)
+            if (record == nullptr || m_core.leaving(*record))
                 return true;
             // A stream that makes progress is not moved because of silence elsewhere.
             const bool progresses = now - session.last_progress() <= stall_threshold;
@@ -251,12 +250,10 @@
 
 asio::awaitable<void> router_streams::query_load(std::string endpoint)
 {
-    const auto* record = m_core.find_endpoint(endpoint);
-    if (record == nullptr)
+    if (m_core.find_endpoint(endpoint) == nullptr)
         co_return;
     http_request query = m_core.m_protocol.write_load_query();
-    const auto response = co_await call_endpoint(
-        m_core.m_channels, record->m_address, std::move(query), response_timeout);
+    const auto response = co_await m_core.call(endpoint, std::move(query), response_timeout);
     if (!response.ok())
     {
         m_core.suspect_after(endpoint, response.status());
@@ -312,8 +309,8 @@
     m_core.charge_crossings(*service, path, tokens);
     http_request order = m_core.m_protocol.write_repath(session->accepted().m_call.m_id, path);
     m_core.m_metrics.counter("fulmaryard_router_repath_orders_total").add();
-    const auto response = co_await call_endpoint(
-        m_core.m_channels, first.m_address, std::move(order), response_timeout);
+    const auto response =
+        co_await m_core.call(first.m_endpoint, std::move(order), response_timeout);
     m_core.m_reservations.release(path, tokens, prefill_tokens);
     session = find();
     if (session == nullptr)
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -2,7 +2,6 @@
 #include "router_streams.hpp"
 #include "use_tuple_inl.hpp"
 
-#include <fulmaryard/endpoint_call.hpp>
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/log.hpp>
 #include <fulmaryard/metric_counter.hpp>
@@ -372,6 +371,9 @@
         co_return false;
     if (is_first_attempt && !m_core.m_wait_queue.may_wait(request, start))
         co_return false;
+    if (const auto wanted = m_core.work_wanted_at(m_accepted.m_service);
+        wanted && *wanted > request.m_latest_start)
+        co_return false; // No endpoint takes requests before then.
     m_core.m_wait_queue.add(request);
     m_core.m_metrics.counter("fulmaryard_router_queued_total").add();
     log_event(log_level::info, "request_queued")
@@ -432,6 +434,8 @@
     m_last_progress = m_sent;
     const auto first = m_path.front().m_endpoint;
     m_last_first_endpoint = first;
+    const auto* record = m_core.find_endpoint(first);
+    const auto started_ms = record == nullptr ? 0 : record->m_started_ms;
     call_target target;
     target.m_endpoint = first;
     target.m_address = m_path.front().m_address;
@@ -458,6 +462,12 @@
     {
         if (const auto failed = co_await open_channel(reused))
             co_return *failed;
+        // The endpoint may have said meanwhile that it wants no more requests.
+        if (!m_core.may_send(first))
+        {
+            m_core.m_channels.put(std::move(m_channel), steady::now());
+            co_return attempt_outcome::unreachable;
+        }
         auto status = co_await m_channel->send(request, m_accepted.m_end);
         if (status.ok())
             response = co_await m_channel->read_head(m_accepted.m_end);
@@ -472,6 +482,7 @@
     answer_head head;
     for (int mismatched = 0; response.ok(); ++mismatched)
     {
+        m_core.note_answer(first, started_ms, response->m_status, response->m_fields);
         head = m_core.m_protocol.read_answer(
             m_accepted.m_call, response->m_status, response->m_fields);
         if (head.m_matches_call || mismatched == max_mismatched_responses)
@@ -516,8 +527,6 @@
     m_answer_began = true;
     for (const auto& hop : m_path)
         m_core.m_refusals.on_accepted(hop.m_endpoint);
-    const auto* record = m_core.find_endpoint(first);
-    const auto started_ms = record == nullptr ? 0 : record->m_started_ms;
     const auto end = co_await relay_events(std::move(head));
     count_attempt_events(0, end == attempt_outcome::complete);
     if (end == attempt_outcome::broken && m_attempt_events < min_sound_events && !m_abandoned &&
@@ -542,9 +551,9 @@
     if (parts.empty())
         co_return;
     http_request query = m_core.m_protocol.write_load_query();
-    const auto response = co_await call_endpoint(
-        m_core.m_channels, first.m_address, std::move(query), crash_check_timeout);
-    if (!response.ok())
+    const auto response =
+        co_await m_core.call(first.m_endpoint, std::move(query), crash_check_timeout);
+    if (!response.ok() && m_core.find_endpoint(first.m_endpoint) != nullptr)
         m_core.suspect_after(first.m_endpoint, response.status());
     const auto now = steady::now();
     const auto* record = m_core.find_endpoint(first.m_endpoint);
@@ -672,7 +681,7 @@
     const auto* record = m_core.find_endpoint(first);
     // An endpoint that leaves may continue to serve for a long time. It counts as lost only if it
     // ended the response itself.
-    const bool removed_or_leaving = record == nullptr || record->m_leaving;
+    const bool removed_or_leaving = record == nullptr || m_core.leaving(*record);
     m_interrupted_send_count += m_core.lost(first) || (removed_or_leaving && !m_abandoned) ? 1 : 0;
 }
 
@@ -691,7 +700,10 @@
 asio::awaitable<void> stream_session::refuse(std::string_view reason)
 {
     const auto now = steady::now();
-    const auto retry_after = m_core.m_wait_queue.assign_retry_after(m_tokens, now);
+    auto retry_after = m_core.m_wait_queue.assign_retry_after(m_tokens, now);
+    // The endpoints' own time comes first; the queue spreads the callers behind it.
+    if (const auto wanted = m_core.work_wanted_at(m_accepted.m_service))
+        retry_after += std::chrono::duration_cast<std::chrono::milliseconds>(*wanted - now);
     m_core.m_streams->add_expected_retry(m_accepted, now + retry_after);
     m_core.m_metrics.counter("fulmaryard_router_refusals_total").add();
     log_event(log_level::info, "request_refused")
--- a/tests/standins/pipeline_main.cpp
+++ b/tests/standins/pipeline_main.cpp
@@ -41,6 +41,8 @@
 constexpr auto drain_grace_period = 2s;
 // Time from the crash of an endpoint to its restart.
 constexpr auto crash_down_time = 2s;
+// Time that routers have to stop sending to an endpoint that wants no work.
+constexpr auto no_work_grace_period = 500ms;
 constexpr std::size_t journal_limit = 100'000;
 
 std::uint64_t unix_ms()
@@ -235,6 +237,19 @@
         m_paused_until = std::chrono::steady_clock::now() + time;
     }
 
+    /// Says in every answer that it leaves, without a change of its entry.
+    void say_leaving()
+    {
+        m_says_leaving = true;
+        m_drain_start = std::chrono::steady_clock::now();
+    }
+    /// Refuses all calls for this time, and says so in its refusals.
+    void refuse_work(std::chrono::milliseconds time)
+    {
+        m_no_work_until = std::chrono::steady_clock::now() + time;
+        m_refusals_begin = {};
+    }
+
     bool serves(layer_range layers) const
     {
         return m_alive && !m_draining && m_layers.m_begin <= layers.m_begin &&
@@ -256,6 +271,8 @@
     asio::awaitable<void> answer_stream(http_exchange& exchange, const std::string& call);
     asio::awaitable<void> answer_plain(http_exchange& exchange, const std::string& call);
     asio::awaitable<bool> wait_for_path(const std::string& call);
+    /// Refuses a call because the endpoint wants no work; returns false if it wants some.
+    asio::awaitable<bool> refuse_unwanted(http_exchange& exchange, const std::string& call);
     http_response report() const;
     http_response order(const http_request& request);
     http_response repath(const json::object& order);
@@ -270,6 +287,9 @@
     bool m_loading{false};
     bool m_alive{true};
     bool m_draining{false};
+    bool m_says_leaving{false};
+    std::chrono::steady_clock::time_point m_no_work_until;
+    std::chrono::steady_clock::time_point m_refusals_begin; ///< First refusal that named a time.
     std::chrono::steady_clock::time_point m_paused_until;
     std::chrono::steady_clock::time_point m_drain_start;
     std::map<std::string, running_call> m_calls;
@@ -301,6 +321,8 @@
     bool crashes(const http_request& request) const;
     /// A deliberate fault of this stand-in, used to show that a check detects it.
     bool has_defect(std::string_view name) const { return m_defect == name; }
+    /// Records a call that reached an endpoint which had said before that it wants none.
+    void note_unwanted_arrival() { ++m_unwanted_arrivals; }
     /// Counts a path whose hops do not cover all layers in order.
     void count_incomplete_path(const std::vector<hop>& path);
 
@@ -329,6 +351,7 @@
     std::uint64_t m_idle_routes{0}; ///< Routes that no request uses, for a large configuration.
     std::string m_defect;
     int m_incomplete_paths{0};
+    int m_unwanted_arrivals{0};
     std::uint64_t m_version{1};
 };
 
@@ -382,7 +405,9 @@
     {
         const std::string call(find_field(request.m_fields, "Fulmaryard-Attempt-Id").value_or(""));
         m_system.note_arrival(call, request);
-        if (m_draining)
+        if (co_await refuse_unwanted(exchange, call))
+            co_return;
+        if (m_draining || m_says_leaving)
         {
             m_system.note_late_arrival(std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::chrono::steady_clock::now() - m_drain_start));
@@ -401,6 +426,27 @@
     std::ignore = co_await exchange.respond(std::move(response));
 }
 
+asio::awaitable<bool>
+endpoint_standin::refuse_unwanted(http_exchange& exchange, const std::string& call)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= m_no_work_until)
+        co_return false;
+    if (m_refusals_begin == std::chrono::steady_clock::time_point())
+        m_refusals_begin = now;
+    else if (now - m_refusals_begin > no_work_grace_period)
+        m_system.note_unwanted_arrival();
+    const std::chrono::duration<double> left = m_no_work_until - now;
+    http_response refusal{
+        503,
+        {{"Fulmaryard-Attempt-Id", call},
+         {"Fulmaryard-Not-Executed", "1"},
+         {"Retry-After", fmt::format("{:.3f}", left.count())}},
+        {}};
+    std::ignore = co_await exchange.respond(std::move(refusal));
+    co_return true;
+}
+
 http_response endpoint_standin::report() const
 {
     json::array stalled;
@@ -516,6 +562,8 @@
     bool stopped = !valid;
     exchange.watch_for_disconnect([&stopped] { stopped = true; });
     fields.push_back({"Fulmaryard-Response-Signature", id()});
+    if (m_says_leaving)
+        fields.push_back({"Server-Leaving", "1"});
     fields.push_back({"Content-Type", "text/event-stream"});
     http_response head{200, std::move(fields), {}};
     std::ignore = co_await exchange.begin_chunked(std::move(head));
@@ -577,6 +625,8 @@
         200,
         {{"Fulmaryard-Attempt-Id", call}, {"Fulmaryard-Response-Signature", id()}},
         "done " + call};
+    if (m_says_leaving)
+        response.m_fields.push_back({"Server-Leaving", "1"});
     std::ignore = co_await exchange.respond(std::move(response));
 }
 
@@ -734,6 +784,7 @@
                      {"arrivals", std::move(arrivals)},
                      {"crash_times", json::value_from(m_crash_times)},
                      {"crash_arrivals", json::value_from(m_crash_arrivals)},
+                     {"unwanted_arrivals", m_unwanted_arrivals},
                      {"late_arrivals", json::value_from(m_late_arrivals)},
                      {"wrong_paths", m_incomplete_paths}});
     }
@@ -751,6 +802,11 @@
             endpoint->pause(std::chrono::milliseconds(number_of(order, "pause_ms", 0)));
         if (endpoint->id() == text_of(order, "drain"))
             endpoint->drain();
+        if (endpoint->id() == text_of(order, "say_leaving"))
+            endpoint->say_leaving();
+        if (endpoint->id().starts_with(text_of(order, "refuse_work")) &&
+            order.contains("refuse_work"))
+            endpoint->refuse_work(std::chrono::milliseconds(number_of(order, "refuse_ms", 0)));
         if (endpoint->id() == text_of(order, "forget") ||
             endpoint->address() == text_of(order, "forget"))
             m_objects.remove("servers", endpoint->id());
