Streams: an answer without a length that ends before an event has broken off

Callers got a complete 200 with an empty body, or the end of a stream that had broken off, when an endpoint ended just after the head of an answer that has neither a length nor chunks.

Cause: the end of such an answer is the end of its connection, which looks the same when the endpoint crashed. Text after the last event was taken for a break, but no text at all for a whole stream.

Change: endpoint_channel says whether an answer ends with its connection; a stream without an event in it has broken off and goes on elsewhere or fails. A stream that a caller resumes after its last event cannot be told from it and fails as well.

--- a/include/fulmaryard/endpoint_channel.hpp
+++ b/include/fulmaryard/endpoint_channel.hpp
@@ -50,6 +50,10 @@
     boost::asio::awaitable<absl::StatusOr<bool>>
     read_body(std::string& body, time_point deadline, std::size_t max_bytes = max_body_bytes);
 
+    /// Whether the current response has neither a length nor chunks, so that its end is the end of
+    /// the connection. Such a response may have broken off without a sign.
+    bool ends_with_connection() const;
+
     /// Whether the connection is open, its last response was read completely, and the endpoint
     /// keeps it alive.
     bool reusable() const;
--- a/src/endpoint_channel.cpp
+++ b/src/endpoint_channel.cpp
@@ -197,6 +197,11 @@
     return m_state->m_open && m_state->m_response_complete && m_state->m_keep_alive;
 }
 
+bool endpoint_channel::ends_with_connection() const
+{
+    return m_state->m_parser && m_state->m_parser->need_eof();
+}
+
 bool endpoint_channel::is_open_and_idle()
 {
     if (m_state->m_buffer.size() != 0)
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -664,6 +664,11 @@
         log_attempt_broken("the answer ends within an event");
         co_return attempt_outcome::broken;
     }
+    if (m_attempt_events == 0 && m_channel->ends_with_connection())
+    {
+        log_attempt_broken("the answer ends before an event");
+        co_return attempt_outcome::broken;
+    }
     m_core.m_channels.put(std::move(m_channel), steady::now());
     if (!m_responded)
     {
--- a/tests/process/router_test.cpp
+++ b/tests/process/router_test.cpp
@@ -2,10 +2,12 @@
 #include "process/event_stream.hpp"
 #include "process/raw_connection.hpp"
 #include "process/reserved_port.hpp"
+#include "process/scripted_endpoint.hpp"
 #include "process/temporary_directory.hpp"
 #include "process/test_client.hpp"
 
 #include <fulmaryard/failure.hpp>
+#include <fulmaryard/layer_range.hpp>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -17,6 +19,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <optional>
 #include <thread>
 
 using namespace fulmaryard;
@@ -45,11 +48,13 @@
 class router_system
 {
 public:
-    explicit router_system(int models = 4)
+    explicit router_system(int models = 4, int plain = 2)
     {
         m_platform = std::make_unique<child_process>(
             std::string(FULMARYARD_STANDIN_DIRECTORY) + "/standin_pipeline",
-            std::vector<std::string>{"--listen", "127.0.0.1:0", "--models", std::to_string(models)},
+            std::vector<std::string>{
+                "--listen", "127.0.0.1:0", "--models", std::to_string(models), "--plain",
+                std::to_string(plain)},
             m_directory.file("platform"));
         const auto port = m_platform->wait_for_port(20s);
         REQUIRE(port.ok());
@@ -141,6 +146,27 @@
         return response.ok() && response->m_status == 200;
     }
 
+    /// Lists an endpoint that the test itself provides; one with layers serves the model.
+    void add_endpoint(
+        const std::string& id, scripted_endpoint& endpoint, std::optional<layer_range> layers) const
+    {
+        json::object entry{
+            {"service", layers ? "model" : "orders"},
+            {"address", endpoint.address()},
+            {"zone", "domain-1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"born", 1}};
+        if (layers)
+        {
+            entry["kind"] = "card";
+            entry["layers"] = json::object{{"from", layers->m_begin}, {"target", layers->m_end}};
+            endpoint.set_layers(static_cast<int>(layers->m_begin), static_cast<int>(layers->m_end));
+        }
+        const json::object object{{"metadata", json::object{{"name", id}}}, {"spec", entry}};
+        REQUIRE(test_client(m_store).post("/objects/servers", json::serialize(object)).ok());
+    }
+
     json::value journal() const { return test_client(m_store).get_json("/control"); }
     void control(const json::object& command) const
     {
@@ -859,3 +885,131 @@
 }
 
 TEST_SUITE_END();
+
+TEST_SUITE_BEGIN("reported_faults");
+
+namespace
+{
+
+/// Begin of a success, without the end of its head.
+std::string success_head(const std::string& call)
+{
+    return fmt::format(
+        "HTTP/1.1 200 OK\r\nFulmaryard-Attempt-Id: {}\r\nFulmaryard-Response-Signature: s\r\n",
+        call);
+}
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += fmt::format("id: {}\ndata: x\n\n", id);
+    return text;
+}
+
+std::string chunk(const std::string& text)
+{
+    return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
+} // namespace
+
+TEST_CASE("an endpoint that stops in the middle of its answer's head")
+{
+    // Guards against a success with a short body that looks complete.
+    scripted_endpoint endpoint(
+        [](const std::string& call, int) -> scripted_endpoint::reply {
+            return {success_head(call) + "Content-Le", true};
+        });
+    router_system system(0, 0);
+    system.add_endpoint("scripted", endpoint, std::nullopt);
+    system.add_endpoint("first", endpoint, layer_range{0, 6});
+    system.add_endpoint("second", endpoint, layer_range{6, 12});
+    system.start_router("router-1");
+    for (const std::string target : {"/orders/1", "/chat/1"})
+    {
+        CAPTURE(target);
+        const auto id = "call" + target.substr(1, 4);
+        const auto response = test_client(system.address("router-1"))
+                                  .send(router_system::make_request("POST", target, id));
+        CHECK(endpoint.arrivals(id) >= 1);
+        CHECK((!response.ok() || response->m_status == 502));
+    }
+}
+
+TEST_CASE("a stream that broke off after its beginning")
+{
+    // Guards against the error of the next endpoint in the middle of a stream, and against a stream
+    // that ends as if it were complete.
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    std::string next_answer = "HTTP/1.1 500 Oops\r\nFulmaryard-Attempt-Id: "
+                              "call-1\r\nContent-Length: 10\r\n\r\nerror text";
+    SUBCASE("and whose next endpoint answers with an error") {}
+    SUBCASE("and whose next endpoint answers with an error of its own without length")
+    {
+        next_answer = "HTTP/1.1 500 Oops\r\nFulmaryard-Attempt-Id: call-1\r\n\r\nerror text";
+    }
+    SUBCASE("and whose next endpoint closes an answer without length before an event")
+    {
+        next_answer = success_head("call-1") + "\r\n";
+    }
+    int calls = 0;
+    const auto script = [&](const std::string& call, int) -> scripted_endpoint::reply
+    {
+        if (++calls == 1)
+            return {success_head(call) + chunked + chunk(events(1, 3)), true};
+        return {next_answer, true};
+    };
+    scripted_endpoint one(script);
+    scripted_endpoint other(script);
+    scripted_endpoint last(script);
+    router_system system(0, 0);
+    system.add_endpoint("one", one, layer_range{0, 6});
+    system.add_endpoint("other", other, layer_range{0, 6});
+    system.add_endpoint("last", last, layer_range{6, 12});
+    system.start_router("router-1");
+    raw_connection caller(system.address("router-1"));
+    caller.send("POST /chat/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nFulmaryard-Attempt-Id: call-1\r\n"
+                "Fulmaryard-Deadline-Ms: 8000\r\nFulmaryard-Token-Usage: 10,100\r\n"
+                "Authorization: Bearer secret\r\nContent-Length: 0\r\n\r\n");
+    const auto answer = caller.receive();
+    CHECK(calls == 2);
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.find("id: 3\n") != std::string::npos);
+    CHECK(answer.find("error text") == std::string::npos);
+    CHECK(answer.find("500 Oops") == std::string::npos);
+    // The last chunk would mark the stream as complete.
+    CHECK(answer.find("\r\n0\r\n") == std::string::npos);
+}
+
+TEST_CASE("a stream without a length that ends with its connection")
+{
+    // Guards against a stream that broke off and is taken for complete, and the reverse.
+    std::string body;
+    bool complete = false;
+    SUBCASE("after an event is complete")
+    {
+        body = events(1, 3);
+        complete = true;
+    }
+    SUBCASE("inside an event has broken off")
+    {
+        body = events(1, 3) + "id: 4\nda";
+    }
+    SUBCASE("before any event has broken off") {}
+    const auto script = [&](const std::string& call, int) -> scripted_endpoint::reply {
+        return {success_head(call) + "\r\n" + body, true};
+    };
+    scripted_endpoint one(script);
+    scripted_endpoint last(script);
+    router_system system(0, 0);
+    system.add_endpoint("one", one, layer_range{0, 6});
+    system.add_endpoint("last", last, layer_range{6, 12});
+    system.start_router("router-1");
+    const auto response = test_client(system.address("router-1"))
+                              .send(router_system::make_request("POST", "/chat/1", "call-1"));
+    CHECK(one.arrivals("call-1") >= 1);
+    CHECK((response.ok() && response->m_status == 200) == complete);
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/process/scripted_endpoint.hpp
@@ -0,0 +1,65 @@
+#ifndef FULMARYARD_SCRIPTED_ENDPOINT_HPP
+#define FULMARYARD_SCRIPTED_ENDPOINT_HPP
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace fulmaryard::process_tests
+{
+
+/// An endpoint whose answers are bytes that a test chooses, for faults that an HTTP server cannot
+/// produce. Load queries and orders are answered as the stand-in does. Thread-safe.
+class scripted_endpoint
+{
+public:
+    /// What to send for a request.
+    struct reply
+    {
+        std::string m_bytes;
+        bool m_close{false}; ///< Close the connection afterwards.
+    };
+
+    /// Called with the id of a call and the number of calls on its connection before it.
+    using script = std::function<reply(const std::string& call, int earlier)>;
+
+    explicit scripted_endpoint(script answer);
+    ~scripted_endpoint();
+
+    scripted_endpoint(const scripted_endpoint&) = delete;
+    scripted_endpoint& operator=(const scripted_endpoint&) = delete;
+
+    std::string address() const;
+
+    /// How often a call arrived.
+    int arrivals(const std::string& call) const;
+
+    /// Layers that the load report names.
+    void set_layers(int begin, int end);
+
+private:
+    void accept();
+    void serve(boost::asio::ip::tcp::socket& socket);
+    std::string report() const;
+
+    script m_answer;
+    boost::asio::io_context m_io;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    mutable std::mutex m_mutex;
+    std::map<std::string, int> m_arrivals;
+    std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> m_sockets;
+    std::vector<std::thread> m_threads;
+    std::string m_layers;
+    bool m_stopped{false};
+};
+
+} // namespace fulmaryard::process_tests
+
+#endif
