Routers: do not send a call again on the connection on which it was refused

Callers were told 503, "not run", for a call that an endpoint ran: it had refused the call, got it again on the same kept connection, wrote its earlier refusal once more and then the answer. Both bear the id of the call.

Cause: a refused call may go to the same endpoint again if no other is left, over the connection that was used last. An id tells answers to different calls apart, not two answers to one call.

Change: a call goes to an endpoint that refused it before over a new connection only, calls to plain services and streams.

--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -150,8 +150,12 @@
     // An idempotent call keeps 2/5 of the remaining time for further attempts.
     if (idempotent() && m_send_count + 1 < m_accepted.m_route.m_max_attempts)
         m_attempt_deadline = std::min(m_attempt_deadline, now + (m_attempt_deadline - now) * 3 / 5);
-    m_channel = m_core.m_channels.take(
-        address, idempotent() ? max_idle_idempotent : max_idle_non_idempotent, now);
+    // A faulty endpoint may write its refusal of this call again on the connection of that refusal.
+    if (!m_tried_endpoints.contains(m_endpoint))
+    {
+        m_channel = m_core.m_channels.take(
+            address, idempotent() ? max_idle_idempotent : max_idle_non_idempotent, now);
+    }
     const bool reused = m_channel != nullptr;
     bool connection_stale = false;
     auto end = co_await send_and_receive(reused, connection_stale);
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -458,7 +458,8 @@
     absl::StatusOr<http_response> response = http_response{};
     // The endpoint may have closed a reused connection. The request is then sent again over a new
     // connection. The endpoint may still have received it, so this counts as a retry.
-    for (bool reused = true;;)
+    // A faulty endpoint may write its refusal of this call again on the connection of that refusal.
+    for (bool reused = !m_refused_by.contains(first);;)
     {
         if (const auto failed = co_await open_channel(reused))
             co_return *failed;
@@ -509,6 +510,7 @@
         const auto* at_fault = m_core.find_endpoint_at(head.m_refused_by);
         const auto refused_by = at_fault != nullptr ? at_fault->m_id : first;
         m_core.m_refusals.on_refused(refused_by, steady::now());
+        m_refused_by.insert(first);
         // A refused attempt to resume a stream was not executed, and the caller still waits for the
         // rest of the response. It does not count toward the route's limit.
         m_send_count -= m_responded ? 1 : 0;
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -132,7 +132,8 @@
     double m_prefill_tokens{0};         ///< Tokens that each of them has to prefill.
     /// Endpoints that later attempts must not use as their first endpoint.
     std::set<std::string> m_excluded_first_endpoints;
-    std::string m_last_first_endpoint; ///< First endpoint of the most recent attempt.
+    std::set<std::string> m_refused_by; ///< First endpoints that refused this request.
+    std::string m_last_first_endpoint;  ///< First endpoint of the most recent attempt.
     std::unique_ptr<endpoint_channel> m_channel;
     boost::asio::steady_timer m_queue_timer; ///< Cancelled to wake the session while it is queued.
     time_point m_last_progress;
--- a/tests/process/router_test.cpp
+++ b/tests/process/router_test.cpp
@@ -891,6 +891,14 @@
 namespace
 {
 
+std::string refusal_of(const std::string& call)
+{
+    return fmt::format(
+        "HTTP/1.1 503 Service Unavailable\r\nFulmaryard-Attempt-Id: {}\r\n"
+        "Fulmaryard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        call);
+}
+
 /// Begin of a success, without the end of its head.
 std::string success_head(const std::string& call)
 {
@@ -899,6 +907,11 @@
         call);
 }
 
+std::string success_of(const std::string& call)
+{
+    return success_head(call) + "Content-Length: 4\r\n\r\ndone";
+}
+
 std::string events(int first, int last)
 {
     std::string text;
@@ -914,6 +927,43 @@
 
 } // namespace
 
+TEST_CASE("an endpoint that writes an earlier refusal again on a kept connection")
+{
+    // Guards against a caller who is told that a call has not run while an endpoint runs it.
+    std::string refused;
+    std::map<std::string, int> runs;
+    scripted_endpoint endpoint(
+        [&](const std::string& call, int earlier) -> scripted_endpoint::reply
+        {
+            if (refused.empty() && call.starts_with("refused"))
+                return {refusal_of(refused = call), false};
+            ++runs[call];
+            const bool repeats = earlier > 0 && !refused.empty();
+            return {(repeats ? refusal_of(refused) : "") + success_of(call), false};
+        });
+    router_system system(4, 0);
+    system.add_endpoint("scripted", endpoint, std::nullopt);
+    system.start_router("router-1");
+    const test_client client(system.address("router-1"));
+    std::string method = "POST";
+    std::string target = "/orders/1";
+    SUBCASE("for a call that may run once") {}
+    SUBCASE("for a call that may be repeated")
+    {
+        method = "GET";
+        target = "/look/1";
+    }
+    const auto first = client.send(router_system::make_request(method, target, "refused-1"));
+    REQUIRE(first.ok());
+    CHECK(runs["refused-1"] <= 1);
+    CHECK((first->m_status == 503) == (runs["refused-1"] == 0));
+    const auto next = client.send(router_system::make_request(method, target, "next-1"));
+    REQUIRE(next.ok());
+    CHECK(next->m_status == 200);
+    CHECK(next->m_body == "done");
+    CHECK(runs["next-1"] == 1);
+}
+
 TEST_CASE("an endpoint that stops in the middle of its answer's head")
 {
     // Guards against a success with a short body that looks complete.
