Quarantine: end a waiting request for good, and name a true time while a trial is due

Cause: read-through. The connection of a request whose part is quarantined is closed; on a kept connection the request was then sent once more over a new one, and a connection that was being opened counted as a failure of its endpoint. While a trial was due, callers were told to come back after 50 ms.

Change: neither is done; callers are told 5 s, the time for the trial.

Result: unit tests, one with the time; process.requests_that_crash_endpoints passes. The resend has no test of its own.

--- a/include/fulmaryard/prompt_quarantine.hpp
+++ b/include/fulmaryard/prompt_quarantine.hpp
@@ -34,6 +34,9 @@
     /// Largest probability that a part is sound and is quarantined.
     static constexpr double max_error = 1e-3;
 
+    /// Time for a trial that is due to be sent and answered, told to callers meanwhile.
+    static constexpr std::chrono::milliseconds trial_time{5'000};
+
     /// Crashes and answers count for this long.
     static constexpr std::chrono::milliseconds evidence_lifetime{30'000};
 
--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -168,7 +168,7 @@
         if (trial_due && owns_trial(part))
             trial = &state;
         else
-            wait = std::max(wait.value_or(crash_spacing), age(*state.m_until - now));
+            wait = std::max(wait.value_or(trial_time), age(*state.m_until - now));
     }
     if (!wait && trial != nullptr)
         trial->m_trial = now;
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -416,7 +416,7 @@
     const auto status = co_await m_channel->connect(address, now + connect_deadline);
     if (status.ok())
         co_return std::nullopt;
-    if (!m_client_disconnected && !m_abandoned)
+    if (!m_client_disconnected && !m_abandoned && !m_quarantined)
         m_core.suspect_after(m_path.front().m_endpoint, status);
     co_return attempt_outcome::unreachable;
 }
@@ -474,7 +474,7 @@
             response = co_await m_channel->read_head(m_accepted.m_end);
         else
             response = status;
-        if (response.ok() || !reused || m_client_disconnected || m_abandoned ||
+        if (response.ok() || !reused || m_client_disconnected || m_abandoned || m_quarantined ||
             !m_core.try_retry(m_accepted.m_service))
             break;
         reused = false;
--- a/tests/unit/prompt_quarantine_test.cpp
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -67,7 +67,7 @@
     SUBCASE("is tried once after the quarantine, by one router")
     {
         const auto later = now + prompt_quarantine::initial_duration;
-        CHECK(quarantine.admit(deadly, later, nobody));
+        CHECK(quarantine.admit(deadly, later, nobody) == prompt_quarantine::trial_time);
         CHECK_FALSE(quarantine.admit(deadly, later, everybody));
         CHECK(quarantine.admit(deadly, later, everybody));
 
