Layers: assign them in a domain whose endpoints come and go without end

In a failure domain that holds no layers, each change of its endpoints began the wait for the others again; endpoints that flap keep it from ever getting layers.

Change: settle_timer waits for 1.3 s without a change as before, but no longer than 8 s in all.

Result: its unit test, which the code before, a comparison inside layer_controller, had no way to have.

--- a/src/layer_controller.cpp
+++ b/src/layer_controller.cpp
@@ -50,10 +50,6 @@
 // Maximum number of load queries to an endpoint before its order is abandoned and planned again.
 constexpr int max_order_polls = 60;
 
-// Endpoints that start together register within one heartbeat of each other. Layers are therefore
-// assigned in a domain that holds none only after its endpoints have not changed for this time.
-constexpr std::chrono::milliseconds settle_time{1'300};
-
 /// Monotonic time that, unlike `steady_clock`, includes the time during which the machine is
 /// suspended.
 steady::time_point boot_time()
@@ -185,9 +181,10 @@
         any_layers = any_layers || !empty(member.m_layers);
     }
     auto& state = m_domains[domain];
-    if (state.m_members != ids)
-        state = {std::move(ids), now, {}, false, -1};
-    return any_layers || now - state.m_unchanged_since >= settle_time;
+    if (state.m_settling.members() != ids)
+        state = {state.m_settling, {}, false, -1};
+    // Layers are assigned in a domain that holds none only once its endpoints have registered.
+    return state.m_settling.settled(std::move(ids), now) || any_layers;
 }
 
 void layer_controller::plan(steady::time_point now)
--- a/src/layer_controller.hpp
+++ b/src/layer_controller.hpp
@@ -8,6 +8,7 @@
 #include <fulmaryard/lease_holder.hpp>
 #include <fulmaryard/object_store.hpp>
 #include <fulmaryard/placement_member.hpp>
+#include <fulmaryard/settle_timer.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -52,8 +53,8 @@
         std::vector<std::string>& changed_endpoints);
     /// Tokens that the requests of all routers reserve at the busiest layer of `members`.
     double reserved_tokens(const std::vector<placement_member>& members) const;
-    /// Whether the endpoints of `domain` may be planned: one has layers already, or the set of
-    /// endpoints has not changed for `settle_time`.
+    /// Whether the endpoints of `domain` may be planned: one has layers already, or their set has
+    /// settled.
     bool membership_stable(
         const std::string& domain, const std::vector<placement_member>& members,
         std::chrono::steady_clock::time_point now);
@@ -61,11 +62,10 @@
     void start_order(const std::string& endpoint);
     void record_reported_layers(const endpoint_record& record, layer_range layers);
 
-    /// Endpoints of a failure domain, and since when the set has been unchanged.
+    /// What is known of the endpoints of a failure domain.
     struct domain_state
     {
-        std::vector<std::string> m_members;
-        std::chrono::steady_clock::time_point m_unchanged_since;
+        settle_timer m_settling;
         /// Members for which planning has changed nothing, and whether they were short of memory.
         std::vector<placement_member> m_settled;
         bool m_settled_short{false};
--- a/tests/unit/layer_placement_test.cpp
+++ b/tests/unit/layer_placement_test.cpp
@@ -2,6 +2,8 @@
 
 #include <fulmaryard/layer_placement.hpp>
 
+#include <fulmaryard/settle_timer.hpp>
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -289,4 +291,39 @@
     CHECK(holds(property, 200, 12));
 }
 
+TEST_CASE("a failure domain whose endpoints come and go")
+{
+    // Guards against a domain that never gets layers because each change of its endpoints begins
+    // the wait for the others again.
+    using namespace std::chrono_literals;
+    const std::chrono::steady_clock::time_point start{1000s};
+    settle_timer settling;
+    CHECK_FALSE(settling.settled({"one"}, start));
+
+    SUBCASE("settles when they do not change")
+    {
+        CHECK_FALSE(settling.settled({"one"}, start + settle_timer::quiet_time - 1ms));
+        CHECK(settling.settled({"one"}, start + settle_timer::quiet_time));
+    }
+    SUBCASE("settles in the end although they change")
+    {
+        auto now = start;
+        for (int i = 0; now < start + settle_timer::max_wait; ++i, now += 1s)
+            CHECK_FALSE(settling.settled({"one", i % 2 == 0 ? "two" : "three"}, now));
+        CHECK(settling.settled({"one", "four"}, start + settle_timer::max_wait));
+    }
+    SUBCASE("begins anew with a change after it had settled")
+    {
+        const auto later = start + 1min;
+        CHECK(settling.settled({"one"}, later));
+        CHECK_FALSE(settling.settled({"one", "two"}, later + 1s));
+        CHECK(settling.settled({"one", "two"}, later + 1s + settle_timer::quiet_time));
+    }
+    SUBCASE("begins anew when all of them have gone")
+    {
+        CHECK_FALSE(settling.settled({}, start + 1s));
+        CHECK_FALSE(settling.settled({"two"}, start + settle_timer::max_wait));
+    }
+}
+
 TEST_SUITE_END();
