Split the router's process tests and the crash handling of streams by subject

Moves only: the fixture of routers and stand-ins to router_system.hpp, the suites of the two incidents, the endpoints' notices and the reported faults to files of their own, and the part of stream_session that deals with crashes to stream_quarantine.cpp.

--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -52,13 +52,6 @@
 // retries or resumes. The caller has already waited.
 constexpr std::chrono::milliseconds retry_queueing_time{1'000};
 
-// Timeout of the query that finds out whether an endpoint has crashed. A crashed one refuses the
-// connection within a round trip.
-constexpr std::chrono::milliseconds crash_check_timeout{250};
-
-// An endpoint whose answer ends before this many events may have crashed under its prompt.
-constexpr std::uint64_t min_sound_events = 2;
-
 // Time reserved before the deadline for sending the response to the caller.
 constexpr std::chrono::milliseconds response_margin{30};
 
@@ -531,59 +524,12 @@
         m_core.m_refusals.on_accepted(hop.m_endpoint);
     const auto end = co_await relay_events(std::move(head));
     count_attempt_events(0, end == attempt_outcome::complete);
-    if (end == attempt_outcome::broken && m_attempt_events < min_sound_events && !m_abandoned &&
+    if (end == attempt_outcome::broken && !m_answer_counted && !m_abandoned &&
         !m_client_disconnected)
         co_await check_for_crash(started_ms);
     co_return end;
 }
 
-void stream_session::count_attempt_events(std::uint64_t events, bool complete)
-{
-    m_attempt_events += events;
-    if (m_answer_counted || (m_attempt_events < min_sound_events && !complete))
-        return;
-    m_answer_counted = true;
-    m_core.m_quarantine.on_answered(m_accepted.m_call.m_shared_parts, steady::now());
-}
-
-asio::awaitable<void> stream_session::check_for_crash(std::uint64_t started_ms)
-{
-    const auto& parts = m_accepted.m_call.m_shared_parts;
-    const auto first = m_path.front();
-    if (parts.empty())
-        co_return;
-    http_request query = m_core.m_protocol.write_load_query();
-    const auto response =
-        co_await m_core.call(first.m_endpoint, std::move(query), crash_check_timeout);
-    if (!response.ok() && m_core.find_endpoint(first.m_endpoint) != nullptr)
-        m_core.suspect_after(first.m_endpoint, response.status());
-    const auto now = steady::now();
-    const auto* record = m_core.find_endpoint(first.m_endpoint);
-    m_crashed = record != nullptr && (record->m_started_ms != started_ms ||
-                                      m_core.m_health.failed(first.m_endpoint, started_ms, now));
-    if (!m_crashed)
-        co_return;
-    log_event(log_level::info, "endpoint_crashed")
-        .with("request", m_accepted.m_call.m_id)
-        .with("endpoint", first.m_endpoint)
-        .with("started_ms", started_ms)
-        .with("shared_parts", fmt::format("{}", fmt::join(parts, ",")));
-    m_core.m_metrics.counter("fulmaryard_router_endpoint_crashes_total").add();
-    const auto run = fmt::format("{}@{}", first.m_endpoint, started_ms);
-    m_core.note_quarantine(m_core.m_quarantine.on_crashed(parts, run, now), "own observation");
-}
-
-void stream_session::on_quarantine()
-{
-    if (!m_core.m_quarantine.quarantined(m_accepted.m_call.m_shared_parts, steady::now()) ||
-        m_answer_began)
-        return;
-    m_quarantined = true;
-    m_queue_timer.cancel();
-    if (m_channel != nullptr)
-        m_channel->close();
-}
-
 asio::awaitable<stream_session::attempt_outcome> stream_session::relay_failure(answer_head head)
 {
     std::string body;
@@ -726,22 +672,6 @@
     std::ignore = co_await m_exchange.respond(std::move(response));
 }
 
-asio::awaitable<void> stream_session::refuse_quarantined(std::chrono::milliseconds wait)
-{
-    m_core.m_metrics.counter("fulmaryard_router_quarantine_refusals_total").add();
-    const std::string_view reason = "a part of the prompt crashes endpoints";
-    if (m_may_have_run || m_responded)
-        co_return co_await fail_request(reason);
-    log_event(log_level::info, "request_refused")
-        .with("request", m_accepted.m_call.m_id)
-        .with("reason", reason)
-        .with("retry_after_ms", wait.count())
-        .with("held_ms", to_ms(steady::now() - m_accepted.m_arrival));
-    auto response = m_core.m_protocol.refusal(m_accepted.m_call, 503, wait);
-    m_responded = true;
-    std::ignore = co_await m_exchange.respond(std::move(response));
-}
-
 asio::awaitable<void> stream_session::fail_request(std::string_view reason)
 {
     log_end("broken_off", reason);
