Calls: keep the start time of an endpoint while its connection is opened

Cause: read-through. The entry of an endpoint can be removed while a connection to it is opened; its start time was read from the entry afterwards, from memory that was freed.

Change: the start time is read before.

--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -107,7 +107,6 @@
 
 asio::awaitable<bool> plain_session::wait_until_work_is_wanted()
 {
-    const auto now = steady::now();
     const auto wanted = m_core.work_wanted_at(m_accepted.m_service);
     const auto latest = std::min(
         m_accepted.m_arrival + m_accepted.m_route.m_latency_objective / waiting_objective_divisor,
@@ -117,7 +116,7 @@
     asio::steady_timer timer(m_core.m_io, *wanted + random_spread(latest - *wanted));
     co_await timer.async_wait(use_tuple);
     m_client_disconnected = m_client_disconnected || m_exchange.client_disconnected();
-    co_return !m_client_disconnected && steady::now() > now;
+    co_return !m_client_disconnected;
 }
 
 std::chrono::steady_clock::duration
@@ -177,6 +176,8 @@
     const auto* record = m_core.find_endpoint(m_endpoint);
     if (record == nullptr)
         co_return attempt_outcome::not_run;
+    // The record may be removed while the connection is opened.
+    const auto started_ms = record->m_started_ms;
     call_target target;
     target.m_endpoint = m_endpoint;
     target.m_address = record->m_address;
@@ -199,7 +200,6 @@
         m_core.m_channels.put(std::move(m_channel), steady::now());
         co_return attempt_outcome::not_run;
     }
-    const auto started_ms = record->m_started_ms;
     target.m_time_left = m_accepted.time_left(steady::now());
     const auto request = m_core.m_protocol.write_call(m_accepted.m_call, target);
     ++m_send_count;
