Streams: log which sends are not counted, and sends that reach no endpoint

The logs could not tell apart why a request had more attempts than its route allows: a send taken out of the count because of silence, failure, removal or leaving, a send repeated over a new connection, or one that reached no endpoint. No decision changes.

--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -411,6 +411,10 @@
         co_return std::nullopt;
     if (!m_client_disconnected && !m_abandoned && !m_quarantined)
         m_core.suspect_after(m_path.front().m_endpoint, status);
+    log_event(log_level::info, "attempt_unreachable")
+        .with("request", m_accepted.m_call.m_id)
+        .with("first", m_path.front().m_endpoint)
+        .with("reason", message_of(status));
     co_return attempt_outcome::unreachable;
 }
 
@@ -470,6 +474,10 @@
         if (response.ok() || !reused || m_client_disconnected || m_abandoned || m_quarantined ||
             !m_core.try_retry(m_accepted.m_service))
             break;
+        log_event(log_level::info, "request_sent_again")
+            .with("request", m_accepted.m_call.m_id)
+            .with("first", first)
+            .with("reason", message_of(response.status()));
         reused = false;
     }
     ++m_send_count;
@@ -634,8 +642,29 @@
     const auto* record = m_core.find_endpoint(first);
     // An endpoint that leaves may continue to serve for a long time. It counts as lost only if it
     // ended the response itself.
-    const bool removed_or_leaving = record == nullptr || m_core.leaving(*record);
-    m_interrupted_send_count += m_core.lost(first) || (removed_or_leaving && !m_abandoned) ? 1 : 0;
+    std::string_view reason;
+    if (m_core.lost(first))
+    {
+        const bool failed =
+            m_core.m_health.failed(first, record->m_started_ms, std::chrono::steady_clock::now());
+        reason = failed ? "failure" : "silence";
+    }
+    else if (!m_abandoned && record == nullptr)
+        reason = "removed";
+    else if (!m_abandoned && m_core.leaving(*record))
+        reason = "leaving";
+    else
+        return;
+    ++m_interrupted_send_count;
+    m_core.m_metrics
+        .counter("fulmaryard_router_uncounted_sends_total", fmt::format("reason=\"{}\"", reason))
+        .add();
+    log_event(log_level::info, "send_not_counted")
+        .with("request", m_accepted.m_call.m_id)
+        .with("first", first)
+        .with("reason", reason)
+        .with("sends", m_send_count)
+        .with("uncounted", m_interrupted_send_count);
 }
 
 void stream_session::log_attempt_broken(std::string_view reason)
