--- /dev/null
+++ b/tests/process/route_attempts_test.cpp
@@ -0,0 +1,97 @@
+#include "process/router_system.hpp"
+
+#include <vector>
+
+using namespace fulmaryard;
+using namespace fulmaryard::process_tests;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("route_attempts");
+
+namespace
+{
+
+std::string begun_stream(const std::string& call)
+{
+    return fmt::format(
+        "HTTP/1.1 200 OK\r\nFulmaryard-Attempt-Id: {}\r\nFulmaryard-Response-Signature: s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        call);
+}
+
+/// Endpoints that hold the first half of the layers, with a sound one for the second half.
+struct first_endpoints
+{
+    explicit first_endpoints(const scripted_endpoint::script& script) : m_last(script)
+    {
+        for (int i = 0; i < 5; ++i)
+            m_firsts.push_back(std::make_unique<scripted_endpoint>(script));
+    }
+
+    void list_at(const router_system& system)
+    {
+        for (std::size_t i = 0; i < m_firsts.size(); ++i)
+            system.add_endpoint(fmt::format("first-{}", i), *m_firsts[i], layer_range{0, 6});
+        system.add_endpoint("last", m_last, layer_range{6, 12});
+    }
+
+    /// Number of endpoints at which the call arrived.
+    int reached(const std::string& call) const
+    {
+        int count = 0;
+        for (const auto& first : m_firsts)
+            count += first->arrivals(call) > 0 ? 1 : 0;
+        return count;
+    }
+
+    std::vector<std::unique_ptr<scripted_endpoint>> m_firsts;
+    scripted_endpoint m_last;
+};
+
+// Of the route in the stand-in's configuration.
+constexpr int route_attempts = 2;
+
+} // namespace
+
+TEST_CASE("a stream whose endpoints do not finish it")
+{
+    // Guards against a request that runs on more endpoints than its route allows because earlier
+    // ones are taken for lost. All endpoints here are alive and have run it.
+    bool closes = false;
+    auto reports = scripted_endpoint::report_mode::answered;
+    SUBCASE("and are silent") {}
+    SUBCASE("and are silent, also to load queries")
+    {
+        reports = scripted_endpoint::report_mode::silent;
+    }
+    SUBCASE("and are silent, and close the connections of load queries")
+    {
+        reports = scripted_endpoint::report_mode::closed;
+    }
+    SUBCASE("and break it off, and are silent to load queries")
+    {
+        closes = true;
+        reports = scripted_endpoint::report_mode::silent;
+    }
+    SUBCASE("and break it off, and close the connections of load queries")
+    {
+        closes = true;
+        reports = scripted_endpoint::report_mode::closed;
+    }
+    first_endpoints endpoints(
+        [&](const std::string& call, int) -> scripted_endpoint::reply {
+            return {closes ? begun_stream(call) : "", closes};
+        });
+    router_system system(0, 0);
+    endpoints.list_at(system);
+    system.start_router("router-1", "retry_slack: 100000\n");
+    for (const auto& first : endpoints.m_firsts)
+        first->set_reports(reports);
+    auto request = router_system::make_request("POST", "/chat/1", "call-1");
+    request.m_fields.push_back({"Fulmaryard-Prompt-Prefix", "shared:4,own:6"});
+    std::ignore = test_client(system.address("router-1")).send(request);
+    CHECK(endpoints.reached("call-1") >= 1);
+    CHECK(endpoints.reached("call-1") <= route_attempts);
+}
+
+TEST_SUITE_END();
--- a/tests/process/scripted_endpoint.cpp
+++ b/tests/process/scripted_endpoint.cpp
@@ -73,11 +73,19 @@
     m_layers = fmt::format(R"({{"from":{},"target":{}}})", begin, end);
 }
 
-std::string scripted_endpoint::report() const
+void scripted_endpoint::set_reports(report_mode mode)
 {
     const std::lock_guard lock(m_mutex);
+    m_reports = mode;
+}
+
+scripted_endpoint::reply scripted_endpoint::report() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_reports != report_mode::answered)
+        return {"", m_reports == report_mode::closed};
     const auto layers = m_layers.empty() ? "" : R"(,"layers":)" + m_layers;
-    return fmt::format(R"({{"seq":0,"busy":false,"pace":1.0,"running":0{}}})", layers);
+    return {frame(fmt::format(R"({{"seq":0,"busy":false,"pace":1.0,"running":0{}}})", layers))};
 }
 
 void scripted_endpoint::accept()
@@ -119,7 +127,7 @@
         received.erase(0, body);
         reply answer;
         if (head.starts_with("GET /report "))
-            answer.m_bytes = frame(report());
+            answer = report();
         else if (head.starts_with("POST /order "))
             answer.m_bytes = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
         else
--- a/tests/process/scripted_endpoint.hpp
+++ b/tests/process/scripted_endpoint.hpp
@@ -27,6 +27,14 @@
         bool m_close{false}; ///< Close the connection afterwards.
     };
 
+    /// How load queries are answered.
+    enum class report_mode
+    {
+        answered,
+        silent, ///< The connection stays open without an answer.
+        closed  ///< The connection is closed without an answer.
+    };
+
     /// Called with the id of a call and the number of calls on its connection before it.
     using script = std::function<reply(const std::string& call, int earlier)>;
 
@@ -44,10 +52,12 @@
     /// Layers that the load report names.
     void set_layers(int begin, int end);
 
+    void set_reports(report_mode mode);
+
 private:
     void accept();
     void serve(boost::asio::ip::tcp::socket& socket);
-    std::string report() const;
+    reply report() const;
 
     script m_answer;
     boost::asio::io_context m_io;
@@ -57,6 +67,7 @@
     std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> m_sockets;
     std::vector<std::thread> m_threads;
     std::string m_layers;
+    report_mode m_reports{report_mode::answered};
     bool m_stopped{false};
 };
 
