Streams: count every endpoint that may have run a request, unless its end is proved

Callers' requests ran on up to five endpoints where their route allows two. Cause: a send was taken out of the count when its endpoint was held for lost, and that was any suspicion: an answer that did not come in time, a failure that another router reported, an entry that was removed. Such an endpoint is often alive, has run the request and goes on with it.

run_history owns the count now. A run of an endpoint leaves it only when its end is proved: nothing listens at its address, or it has started again.

--- a/include/fulmaryard/failure_kind.hpp
+++ b/include/fulmaryard/failure_kind.hpp
@@ -32,7 +32,8 @@
     endpoint_failed,
     deadline_exceeded,
     outcome_unknown,
-    internal
+    internal,
+    connection_refused ///< No process listens at the address.
 };
 
 /// Returns the name used in error bodies, logs and metrics, for example "rate_limited".
--- a/src/endpoint_channel.cpp
+++ b/src/endpoint_channel.cpp
@@ -49,8 +49,11 @@
 
 absl::Status io_failure(const beast::error_code& error, dispatch_progress progress)
 {
-    const auto kind = error == beast::error::timeout ? failure_kind::deadline_exceeded
-                                                     : failure_kind::endpoint_lost;
+    auto kind = failure_kind::endpoint_lost;
+    if (error == beast::error::timeout)
+        kind = failure_kind::deadline_exceeded;
+    else if (error == asio::error::connection_refused)
+        kind = failure_kind::connection_refused;
     return make_failure(kind, error.message(), progress);
 }
 
--- a/src/failure.cpp
+++ b/src/failure.cpp
@@ -22,7 +22,7 @@
 };
 
 // Indexed by failure_kind.
-constexpr std::array<failure_kind_properties, 23> properties{{
+constexpr std::array<failure_kind_properties, 24> properties{{
     {"invalid_request", 400, absl::StatusCode::kInvalidArgument},
     {"unauthenticated", 401, absl::StatusCode::kUnauthenticated},
     {"forbidden", 403, absl::StatusCode::kPermissionDenied},
@@ -46,15 +46,17 @@
     {"deadline_exceeded", 504, absl::StatusCode::kDeadlineExceeded},
     {"outcome_unknown", 504, absl::StatusCode::kUnknown},
     {"internal", 500, absl::StatusCode::kInternal},
+    {"connection_refused", 502, absl::StatusCode::kUnavailable},
 }};
 
-static_assert(properties.size() == static_cast<std::size_t>(failure_kind::internal) + 1);
+static_assert(properties.size() == static_cast<std::size_t>(failure_kind::connection_refused) + 1);
 
 const failure_kind_properties& properties_of(failure_kind kind) noexcept
 {
     // A kind decoded from a peer's message can be out of range; it is treated as `internal`.
     const auto index = static_cast<std::size_t>(kind);
-    return index < properties.size() ? properties[index] : properties.back();
+    return properties
+        [index < properties.size() ? index : static_cast<std::size_t>(failure_kind::internal)];
 }
 
 } // namespace
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -10,6 +10,7 @@
 #include <fulmaryard/endpoint_protocol.hpp>
 #include <fulmaryard/endpoint_refusals.hpp>
 #include <fulmaryard/endpoint_reservations.hpp>
+#include <fulmaryard/endpoint_run.hpp>
 #include <fulmaryard/found_path.hpp>
 #include <fulmaryard/known_versions.hpp>
 #include <fulmaryard/lagging_state.hpp>
@@ -113,6 +114,14 @@
     /// longer listed does not count as lost, since it may still finish its running requests.
     bool lost(const std::string& id) const;
 
+    /// Whether a run of an endpoint is proved to have ended: nothing listened at its address, or
+    /// the endpoint has started again. Silence, broken connections and a removed entry prove
+    /// nothing.
+    bool ended(const endpoint_run& run) const;
+
+    /// Finds out whether a run has ended, by a query to its address.
+    boost::asio::awaitable<bool> check_ended(endpoint_run run);
+
     /// Layers that the endpoint holds, by its membership entry or by a newer report.
     layer_range layers_of(const endpoint_record& record) const;
 
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -518,7 +518,11 @@
         http_request query = m_core.m_protocol.write_load_query();
         const auto response = co_await m_core.call(endpoint, std::move(query), probe_deadline);
         if (!response.ok())
+        {
+            // The endpoint may have ended since it fell silent.
+            m_core.suspect_after(endpoint, response.status());
             co_return;
+        }
         m_core.clear_suspicion(endpoint);
         if (const auto load = m_core.m_protocol.read_load(*response); load.ok())
             m_core.record_pace(endpoint, load->m_slowdown, true);
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -149,11 +149,8 @@
         return;
     // A silent endpoint may still recover, so the attempt is aborted only if another one may
     // follow.
-    const std::uint32_t lost = m_core.lost(m_path.front().m_endpoint) ? 1 : 0;
-    const bool can_retry =
-        m_attempt_count < max_attempts &&
-        m_attempt_count - m_interrupted_send_count - lost < m_accepted.m_route.m_max_attempts &&
-        (m_accepted.m_route.m_resumable || (!m_responded && !m_last_event_id));
+    const bool can_retry = m_attempt_count < max_attempts && within_route_limit() &&
+                           (m_accepted.m_route.m_resumable || (!m_responded && !m_last_event_id));
     if (!can_retry || !m_core.try_retry(m_accepted.m_service))
         return;
     log_event(log_level::info, "attempt_abandoned")
@@ -294,6 +291,8 @@
             co_return co_await refuse("no room");
         }
         const auto end = co_await attempt();
+        if (end == attempt_outcome::broken && !m_client_disconnected && !within_route_limit())
+            co_await check_ended_runs();
         m_may_have_run = m_may_have_run || end == attempt_outcome::broken;
         m_channel.reset();
         release_path();
@@ -325,12 +324,7 @@
     if (end == attempt_outcome::broken && !m_accepted.m_route.m_resumable &&
         (m_responded || m_last_event_id))
         return false;
-    // Attempts interrupted by a lost endpoint do not count toward the route's limit.
-    if (m_send_count - m_interrupted_send_count >= m_accepted.m_route.m_max_attempts &&
-        end != attempt_outcome::not_run)
-        return false;
-    if (end == attempt_outcome::not_run &&
-        m_send_count >= m_accepted.m_route.m_max_attempts + m_interrupted_send_count)
+    if (!within_route_limit())
         return false;
     // `abandon_attempt` has already charged this retry to the retry budget.
     return m_abandoned || m_core.try_retry(m_accepted.m_service);
@@ -433,6 +427,7 @@
     m_last_first_endpoint = first;
     const auto* record = m_core.find_endpoint(first);
     const auto started_ms = record == nullptr ? 0 : record->m_started_ms;
+    const endpoint_run run{first, started_ms, m_path.front().m_address};
     call_target target;
     target.m_endpoint = first;
     target.m_address = m_path.front().m_address;
@@ -466,6 +461,7 @@
             m_core.m_channels.put(std::move(m_channel), steady::now());
             co_return attempt_outcome::unreachable;
         }
+        m_history.on_sent(run);
         auto status = co_await m_channel->send(request, m_accepted.m_end);
         if (status.ok())
             response = co_await m_channel->read_head(m_accepted.m_end);
@@ -480,7 +476,6 @@
             .with("reason", message_of(response.status()));
         reused = false;
     }
-    ++m_send_count;
     answer_head head;
     for (int mismatched = 0; response.ok(); ++mismatched)
     {
@@ -500,7 +495,6 @@
     }
     if (!response.ok() || !head.m_matches_call)
     {
-        count_interrupted_send(first);
         m_excluded_first_endpoints.insert(first);
         log_attempt_broken(
             response.ok() ? "responses to other requests" : message_of(response.status()));
@@ -512,9 +506,9 @@
         const auto refused_by = at_fault != nullptr ? at_fault->m_id : first;
         m_core.m_refusals.on_refused(refused_by, steady::now());
         m_refused_by.insert(first);
-        // A refused attempt to resume a stream was not executed, and the caller still waits for the
-        // rest of the response. It does not count toward the route's limit.
-        m_send_count -= m_responded ? 1 : 0;
+        // After a refused attempt to resume a stream, the caller still waits for the rest of the
+        // response. It does not count toward the route's limit.
+        m_history.on_refused(run, !m_responded);
         log_event(log_level::info, "attempt_refused")
             .with("request", m_accepted.m_call.m_id)
             .with("status", head.m_status)
@@ -551,8 +545,7 @@
         co_return attempt_outcome::not_run;
     m_excluded_first_endpoints.insert(m_path.front().m_endpoint);
     const bool should_retry =
-        head.m_status >= 500 && m_accepted.m_route.m_resumable &&
-        m_send_count < m_accepted.m_route.m_max_attempts + m_interrupted_send_count;
+        head.m_status >= 500 && m_accepted.m_route.m_resumable && within_route_limit();
     if (m_responded || should_retry || (head.m_status < 300 && !head.m_signed))
         co_return attempt_outcome::broken;
     http_response answer{head.m_status, std::move(head.m_fields), std::move(body)};
@@ -608,7 +601,6 @@
         if (!more.ok())
         {
             const auto first = m_path.front().m_endpoint;
-            count_interrupted_send(first);
             m_excluded_first_endpoints.insert(first);
             log_attempt_broken(message_of(more.status()));
             co_return attempt_outcome::broken;
@@ -637,34 +629,23 @@
     co_return attempt_outcome::complete;
 }
 
-void stream_session::count_interrupted_send(const std::string& first)
+bool stream_session::within_route_limit()
 {
-    const auto* record = m_core.find_endpoint(first);
-    // An endpoint that leaves may continue to serve for a long time. It counts as lost only if it
-    // ended the response itself.
-    std::string_view reason;
-    if (m_core.lost(first))
+    for (const auto& run : m_history.counted())
     {
-        const bool failed =
-            m_core.m_health.failed(first, record->m_started_ms, std::chrono::steady_clock::now());
-        reason = failed ? "failure" : "silence";
+        if (m_core.ended(run))
+            m_history.on_ended(run);
+    }
+    return m_history.count() < m_accepted.m_route.m_max_attempts;
+}
+
+asio::awaitable<void> stream_session::check_ended_runs()
+{
+    for (const auto& run : m_history.counted())
+    {
+        if (co_await m_core.check_ended(run))
+            m_history.on_ended(run);
     }
-    else if (!m_abandoned && record == nullptr)
-        reason = "removed";
-    else if (!m_abandoned && m_core.leaving(*record))
-        reason = "leaving";
-    else
-        return;
-    ++m_interrupted_send_count;
-    m_core.m_metrics
-        .counter("fulmaryard_router_uncounted_sends_total", fmt::format("reason=\"{}\"", reason))
-        .add();
-    log_event(log_level::info, "send_not_counted")
-        .with("request", m_accepted.m_call.m_id)
-        .with("first", first)
-        .with("reason", reason)
-        .with("sends", m_send_count)
-        .with("uncounted", m_interrupted_send_count);
 }
 
 void stream_session::log_attempt_broken(std::string_view reason)
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -6,6 +6,7 @@
 
 #include <fulmaryard/answer_head.hpp>
 #include <fulmaryard/http_exchange.hpp>
+#include <fulmaryard/run_history.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -116,8 +117,10 @@
     /// Updates the statistics of the time between events.
     void record_event_interval(std::chrono::steady_clock::duration interval);
     const routed_service* service() const;
-    /// Counts an attempt that ended early as interrupted if its first endpoint, `first`, was lost.
-    void count_interrupted_send(const std::string& first);
+    /// Whether the route permits that the request is sent to another endpoint.
+    bool within_route_limit();
+    /// Finds out which of the endpoints that count toward the route's limit have ended.
+    boost::asio::awaitable<void> check_ended_runs();
     void log_attempt_broken(std::string_view reason);
     void log_end(std::string_view outcome, std::string_view reason);
 
@@ -144,8 +147,7 @@
     std::chrono::steady_clock::duration m_mean_event_interval{};
     std::optional<std::uint64_t> m_last_event_id; ///< Id of the last event relayed.
     std::uint64_t m_event_count{0};               ///< Events relayed to the caller.
-    std::uint32_t m_send_count{0};                ///< Attempts that were sent to an endpoint.
-    std::uint32_t m_interrupted_send_count{0};    ///< Of these, interrupted by endpoint loss.
+    run_history m_history;                        ///< First endpoints that the request was sent to.
     std::uint32_t m_attempt_count{0};  ///< All attempts, including those that reached no endpoint.
     bool m_client_disconnected{false}; ///< The caller has disconnected.
     std::uint64_t m_attempt_events{0}; ///< Events of the current attempt.
