--- a/tests/process/router_system.hpp
+++ b/tests/process/router_system.hpp
@@ -167,6 +167,16 @@
         REQUIRE(test_client(m_store).post("/objects/servers", json::serialize(object)).ok());
     }
 
+    /// Names of the objects of a kind in the store.
+    std::vector<std::string> objects(const std::string& kind) const
+    {
+        std::vector<std::string> names;
+        const auto listing = test_client(m_store).get_json("/objects/" + kind);
+        for (const auto& item : listing.at("items").as_array())
+            names.emplace_back(item.at("metadata").at("name").as_string());
+        return names;
+    }
+
     json::value journal() const { return test_client(m_store).get_json("/control"); }
     void control(const json::object& command) const
     {
--- a/tests/standins/pipeline_main.cpp
+++ b/tests/standins/pipeline_main.cpp
@@ -97,14 +97,38 @@
         m_history_start = m_revision;
     }
 
+    void save_copy() { m_copy = {m_revision, m_objects}; }
+
+    /// Loses everything since the last copy. Revisions go on from that of the copy.
+    void restore_copy()
+    {
+        m_revision = m_copy.m_revision;
+        m_objects = m_copy.m_objects;
+        drop_history();
+        ++m_era;
+    }
+
+    /// Number of times that the store was restored.
+    std::uint64_t era() const { return m_era; }
+
 private:
+    using objects_by_kind = std::map<std::string, std::map<std::string, json::object>>;
+
+    struct saved_copy
+    {
+        std::uint64_t m_revision{1};
+        objects_by_kind m_objects;
+    };
+
     http_response write(const http_request& request, const std::string& kind, std::string name);
     http_response list(const std::string& kind);
     json::array changes(const std::string& kind, std::uint64_t after) const;
 
     std::uint64_t m_revision{1};
     std::uint64_t m_history_start{0};
-    std::map<std::string, std::map<std::string, json::object>> m_objects;
+    std::uint64_t m_era{1};
+    objects_by_kind m_objects;
+    saved_copy m_copy;
     std::deque<change> m_changes;
 };
 
@@ -178,12 +202,15 @@
     if (!valid)
         co_return error_response(400, "watch and wait_ms are numbers");
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
-    if (after < m_history_start)
+    if (after < m_history_start || after > m_revision)
         co_return error_response(410, "this history is gone");
+    const auto era = m_era;
     json::array events = changes(kind, after);
     while (events.empty() && std::chrono::steady_clock::now() < end)
     {
         co_await sleep_for(5ms);
+        if (era != m_era)
+            co_return error_response(410, "this history is gone");
         events = changes(kind, after);
     }
     co_return json_response(
@@ -818,6 +845,10 @@
     m_store_delay = std::chrono::milliseconds(number_of(order, "store_delay_ms", 0));
     if (flag_of(order, "drop_history"))
         m_objects.drop_history();
+    if (flag_of(order, "save_copy"))
+        m_objects.save_copy();
+    if (flag_of(order, "restore_copy"))
+        m_objects.restore_copy();
     if (order.contains("crash_part"))
         m_crash_part = text_of(order, "crash_part");
     if (order.contains("defect"))
@@ -840,14 +871,19 @@
         std::ignore = co_await exchange.respond(control(request));
         co_return;
     }
+    const auto add_era = [this](http_response response)
+    {
+        response.m_fields.push_back({"Store-Era", std::to_string(m_objects.era())});
+        return response;
+    };
     if (m_store_down)
     {
-        std::ignore = co_await exchange.respond(error_response(503, "down"));
+        std::ignore = co_await exchange.respond(add_era(error_response(503, "down")));
         co_return;
     }
     if (m_store_delay.count() > 0)
         co_await sleep_for(m_store_delay);
-    auto response = co_await m_objects.answer(request);
+    auto response = add_era(co_await m_objects.answer(request));
     std::ignore = co_await exchange.respond(std::move(response));
 }
 
