--- a/include/fulmaryard/known_versions.hpp
+++ b/include/fulmaryard/known_versions.hpp
@@ -11,7 +11,7 @@
 struct known_versions
 {
     std::uint64_t m_configuration{0}; ///< Version of the configuration.
-    std::uint64_t m_endpoints{0};     ///< Store revision of the newest change of an endpoint.
+    std::uint64_t m_endpoints{0};     ///< Version of the newest change of an endpoint.
 
     friend auto operator<=>(const known_versions&, const known_versions&) = default;
 };
--- a/include/fulmaryard/object_store.hpp
+++ b/include/fulmaryard/object_store.hpp
@@ -19,7 +19,7 @@
 ///
 /// Failures: `platform_unavailable`, with outcome `not_run` if the operation was not executed and
 /// `unknown` if a write may have taken effect or may still take effect; `conflict` if the object
-/// does not have the expected version.
+/// does not have the expected version, also because the store lost that version in a restoration.
 class object_store
 {
 public:
--- a/include/fulmaryard/platform_object.hpp
+++ b/include/fulmaryard/platform_object.hpp
@@ -13,7 +13,7 @@
 struct platform_object
 {
     std::string m_value;
-    std::uint64_t m_version{0}; ///< 0: the object does not exist.
+    std::uint64_t m_version{0}; ///< 0: the object does not exist. Later versions are greater.
 
     friend auto operator<=>(const platform_object&, const platform_object&) = default;
 };
