Membership: entries of a restored store change nothing of what is known

After the store had come back from an older copy, an endpoint that had left was used again, since the copy lists it as ready (123 of 123 calls), and one that registered after the copy was lost until it registered again. Cause: a listing was taken for the newest state. A run that leaves never takes that back.

--- a/include/fulmaryard/platform_listener.hpp
+++ b/include/fulmaryard/platform_listener.hpp
@@ -33,6 +33,9 @@
     virtual void on_store_unavailable() = 0;
     /// A call to the store succeeded for the first time after `on_store_unavailable`.
     virtual void on_store_recovered() = 0;
+    /// The store has come back from an older copy: what was written since that copy is gone, and
+    /// entries may be listed that were removed since.
+    virtual void on_store_restored() = 0;
     /// A read of the configuration or of the endpoints has ended.
     virtual void on_store_read(const store_read& read) = 0;
 };
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -173,9 +173,15 @@
 
     void on_endpoints_listed(const std::vector<endpoint_record>& records) override
     {
-        for (const auto& record : records)
-            handle_record_change(record);
-        m_core.m_membership.on_listing(records, steady::now());
+        const auto before = m_core.m_membership.endpoints();
+        const auto doubtful = m_core.m_membership.on_listing(records, steady::now());
+        for (const auto& [id, record] : m_core.m_membership.endpoints())
+        {
+            const auto known = before.find(id);
+            handle_record_change(known == before.end() ? nullptr : &known->second, record);
+        }
+        for (const auto& id : doubtful)
+            asio::co_spawn(m_io, query_layers(id), asio::detached);
         log_event(log_level::info, "endpoints_listed").with("endpoints", records.size());
         m_endpoints_known = true;
         on_state_known();
@@ -184,7 +190,7 @@
 
     void on_endpoint_changed(const endpoint_record& record) override
     {
-        handle_record_change(record);
+        handle_record_change(m_core.find_endpoint(record.m_id), record);
         m_core.m_membership.on_changed(record);
         m_core.m_on_capacity();
     }
@@ -226,6 +232,12 @@
         m_core.m_membership.on_store_unavailable(steady::now());
     }
 
+    void on_store_restored() override
+    {
+        m_core.m_metrics.counter("fulmaryard_router_store_restorations_total").add();
+        m_core.m_membership.on_store_restored(steady::now());
+    }
+
     void on_store_recovered() override
     {
         log_event(log_level::info, "store_back").with("store", m_settings.m_platform);
@@ -314,9 +326,8 @@
     }
 
     /// Discards reported layers that `record` supersedes, and logs a changed entry.
-    void handle_record_change(const endpoint_record& record)
+    void handle_record_change(const endpoint_record* before, const endpoint_record& record)
     {
-        const auto* before = m_core.find_endpoint(record.m_id);
         if (before != nullptr && *before == record)
             return;
         // An entry with other layers, or of a restarted endpoint, is newer than the reported
@@ -505,6 +516,20 @@
         }
     }
 
+    /// Asks an endpoint for its layers, since its entry may be older than what is known of it. Its
+    /// answer also says whether it leaves.
+    asio::awaitable<void> query_layers(std::string endpoint)
+    {
+        http_request query = m_core.m_protocol.write_load_query();
+        const auto response = co_await m_core.call(endpoint, std::move(query), probe_deadline);
+        const auto* record = m_core.find_endpoint(endpoint);
+        if (!response.ok() || record == nullptr)
+            co_return;
+        const auto load = m_core.m_protocol.read_load(*response);
+        if (load.ok() && !record->m_accelerator.empty())
+            m_core.m_reported_layers[endpoint] = {record->m_started_ms, load->m_layers};
+    }
+
     /// Queries a suspected endpoint and clears the suspicion when it answers or is no longer
     /// listed.
     asio::awaitable<void> probe(std::string endpoint)
