Lease: give it up when the store comes back from an older copy

What this router wrote may be gone and another one may hold the lease or take it, since the restored object is older; epochs of the lease would be given out again, and the plan of an older copy would move layers back. The lease ends at the return, nobody takes it before leases granted earlier have expired, epochs go on from the highest one seen, and the next holder starts from the layers that endpoints report.

--- a/include/fulmaryard/lease_holder.hpp
+++ b/include/fulmaryard/lease_holder.hpp
@@ -76,6 +76,11 @@
     std::optional<lease_action>
     on_written(const absl::StatusOr<std::uint64_t>& result, time_point now);
 
+    /// Called when the store has come back from an older copy: what this process and others wrote
+    /// may be gone. The lease is given up, and nobody takes it before those that were granted
+    /// earlier have expired. The result of the operation in progress is not used.
+    void on_store_restored(time_point now);
+
     /// Whether this process holds the lease at `now` and may send orders.
     bool held(time_point now) const;
 
@@ -106,7 +111,10 @@
     std::optional<time_point> m_first_unknown_write_sent;
     bool m_is_holder{false}; ///< Whether the last known write is from this process.
     std::uint64_t m_epoch{0};
-    std::uint64_t m_version{0}; ///< Version of the object while `m_is_holder` is true.
+    std::uint64_t m_highest_epoch{0}; ///< Of any holder; a restored store may name an older one.
+    std::optional<time_point> m_acquire_after; ///< After a restoration of the store.
+    bool m_discard_result{false}; ///< The operation in progress began before a restoration.
+    std::uint64_t m_version{0};   ///< Version of the object while `m_is_holder` is true.
     /// Whether `m_observed_version` and `m_observed_since` are valid.
     bool m_has_observed_version{false};
     /// Version last read while not holding the lease.
--- a/src/layer_controller.cpp
+++ b/src/layer_controller.cpp
@@ -80,6 +80,13 @@
     return m_lease.held(boot_time());
 }
 
+void layer_controller::on_store_restored()
+{
+    m_lease.on_store_restored(boot_time());
+    m_loaded_epoch = 0;
+    m_plan_outdated = true;
+}
+
 void layer_controller::on_tick(steady::time_point now)
 {
     advance_lease();
@@ -140,6 +147,8 @@
     const auto epoch = m_lease.epoch();
     const auto object = co_await m_store.get(std::string(layer_plan_object_key), store_timeout);
     m_busy = false;
+    if (!holds_lease())
+        co_return;
     if (!object.ok())
     {
         log_event(log_level::warning, "layer_plan_unreadable")
@@ -147,7 +156,9 @@
         co_return;
     }
     layer_plan plan;
-    if (object->m_version != 0)
+    // Without a plan, endpoints keep the layers that they report, and only orders in progress are
+    // lost. One of an older copy would move layers back.
+    if (object->m_version != 0 && !std::exchange(m_plan_outdated, false))
     {
         const auto decoded = decode_layer_plan(object->m_value);
         if (decoded.ok())
--- a/src/layer_controller.hpp
+++ b/src/layer_controller.hpp
@@ -41,6 +41,9 @@
 
     bool holds_lease() const;
 
+    /// Called when the store has come back from an older copy.
+    void on_store_restored();
+
 private:
     void advance_lease();
     boost::asio::awaitable<void> run_lease_actions(lease_action action);
@@ -90,6 +93,7 @@
     std::set<std::string> m_active_orders;         ///< Endpoints for which `order` is running.
     std::map<std::string, domain_state> m_domains; ///< By "service/failure domain".
     std::chrono::steady_clock::time_point m_next_plan;
+    bool m_plan_outdated{false}; ///< The stored plan may be an older one than was carried out.
     bool m_lease_held{false}; ///< Whether the lease was held at the last tick.
 };
 
--- a/src/lease_holder.cpp
+++ b/src/lease_holder.cpp
@@ -1,6 +1,7 @@
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/lease_holder.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace fulmaryard
@@ -35,6 +36,7 @@
     m_has_observed_version = false;
     m_version = version;
     m_epoch = m_last_write.m_value.m_epoch;
+    m_highest_epoch = std::max(m_highest_epoch, m_epoch);
     // Measure the lease from when the write was sent, because another process may have observed it
     // as early as that. If earlier writes have an unknown result, use the first of them, because it
     // may be the one that took effect.
@@ -43,6 +45,17 @@
     m_held_until = sent + m_settings.m_duration - m_settings.m_safety_margin;
 }
 
+void lease_holder::on_store_restored(time_point now)
+{
+    m_is_holder = false;
+    m_result_unknown = false;
+    m_first_unknown_write_sent.reset();
+    m_has_observed_version = false;
+    m_acquire_after = now + m_settings.m_duration;
+    m_discard_result = m_pending != operation::none;
+    m_next_read = now;
+}
+
 std::optional<lease_action> lease_holder::on_tick(time_point now)
 {
     if (m_pending != operation::none)
@@ -71,7 +84,7 @@
 lease_holder::on_read(const absl::StatusOr<platform_object>& result, time_point now)
 {
     m_pending = operation::none;
-    if (!result.ok())
+    if (std::exchange(m_discard_result, false) || !result.ok())
         return std::nullopt;
     lease current;
     if (result->m_version != 0)
@@ -83,6 +96,7 @@
             return std::nullopt;
         current = *decoded;
     }
+    m_highest_epoch = std::max(m_highest_epoch, current.m_epoch);
     if (m_result_unknown)
     {
         m_result_unknown = false;
@@ -116,20 +130,23 @@
     }
     // If the object still names this process, whose lease has expired locally, acquire it again
     // without waiting: no other process holds it, and the conditional write admits one candidate.
+    const bool earlier_leases_expired = !m_acquire_after || now >= *m_acquire_after;
     const bool available =
         current.m_epoch == 0 || current.m_holder == m_settings.m_process ||
         now - m_observed_since >= std::chrono::milliseconds(current.m_duration_ms);
-    if (!available)
+    if (!available || !earlier_leases_expired)
         return std::nullopt;
     const auto duration_ms = static_cast<std::uint32_t>(m_settings.m_duration.count());
     return start_write(
-        {m_settings.m_process, current.m_epoch + 1, duration_ms}, result->m_version, now);
+        {m_settings.m_process, m_highest_epoch + 1, duration_ms}, result->m_version, now);
 }
 
 std::optional<lease_action>
 lease_holder::on_written(const absl::StatusOr<std::uint64_t>& result, time_point now)
 {
     m_pending = operation::none;
+    if (std::exchange(m_discard_result, false))
+        return std::nullopt;
     if (result.ok())
     {
         // This write changed the version, so no earlier write has taken effect or still can.
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -236,6 +236,7 @@
     {
         m_core.m_metrics.counter("fulmaryard_router_store_restorations_total").add();
         m_core.m_membership.on_store_restored(steady::now());
+        m_layers.on_store_restored();
     }
 
     void on_store_recovered() override
--- a/tests/unit/lease_holder_test.cpp
+++ b/tests/unit/lease_holder_test.cpp
@@ -43,6 +43,13 @@
         return m_object.m_version;
     }
 
+    /// Comes back from `copy`, in a new era.
+    void restore(const platform_object& copy)
+    {
+        m_object = copy;
+        m_object.m_version += copy.m_version == 0 ? 0 : 1'000;
+    }
+
     lease current() const { return *decode_lease(m_object.m_value); }
 
     platform_object m_object;
@@ -207,4 +214,81 @@
     CHECK_FALSE(holder.held(now));
 }
 
+TEST_CASE("lease: a store that comes back from an older copy")
+{
+    // Guards against two holders, and against epochs that are given out again.
+    lease_store store;
+    candidate first(store, "first");
+    candidate second(store, "second");
+    lease_holder::time_point now{1h};
+    const auto empty = store.m_object;
+    const auto run = [&](std::chrono::milliseconds time)
+    {
+        bool both = false;
+        for (const auto end = now + time; now < end; now += 100ms)
+        {
+            first.tick(now);
+            second.tick(now);
+            both = both || (first.m_holder.held(now) && second.m_holder.held(now));
+        }
+        return both;
+    };
+    first.tick(now);
+    REQUIRE(first.m_holder.held(now));
+    const auto held_by_first = store.m_object;
+
+    SUBCASE("ends the lease, which is won again with a later epoch")
+    {
+        SUBCASE("if the copy names the holder")
+        {
+            store.restore(held_by_first);
+        }
+        SUBCASE("if the copy has no lease")
+        {
+            store.restore(empty);
+        }
+        first.m_holder.on_store_restored(now);
+        second.m_holder.on_store_restored(now);
+        CHECK_FALSE(first.m_holder.held(now));
+        CHECK_FALSE(run(30s));
+        const auto& holder = first.m_holder.held(now) ? first.m_holder : second.m_holder;
+        CHECK(holder.held(now));
+        CHECK(holder.epoch() > 1);
+    }
+    SUBCASE("does not give the lease to a process before an earlier one has expired")
+    {
+        // The second process has won the lease since the copy; the first one learns of the return.
+        CHECK_FALSE(run(1s));
+        now += 15s;
+        second.tick(now);
+        now += 15s;
+        second.tick(now);
+        REQUIRE(second.m_holder.held(now));
+        first.tick(now);
+        store.restore(held_by_first);
+        first.m_holder.on_store_restored(now);
+        const auto expired = now + 9s;
+        while (now < expired)
+        {
+            now += 100ms;
+            first.tick(now);
+            REQUIRE_FALSE((first.m_holder.held(now) && second.m_holder.held(now)));
+        }
+        now += 2s;
+        first.tick(now);
+        CHECK(first.m_holder.held(now));
+        CHECK(first.m_holder.epoch() > second.m_holder.epoch());
+    }
+    SUBCASE("does not make a write of before count")
+    {
+        now += 4s;
+        auto action = first.m_holder.on_tick(now);
+        REQUIRE(action);
+        REQUIRE(std::holds_alternative<write_lease>(*action));
+        first.m_holder.on_store_restored(now);
+        CHECK_FALSE(first.m_holder.on_written(held_by_first.m_version + 1, now));
+        CHECK_FALSE(first.m_holder.held(now));
+    }
+}
+
 TEST_SUITE_END();
