Routers: register again when the store comes back from an older copy

The answer to the write of a router's address was taken for lasting: after a return, routers that had registered since the copy were unknown to new ones, and each router divided the shared retry budget by a number that was too small. They register again, and for 5 s a router that is missing from the list still counts.

--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -26,6 +26,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -71,6 +72,10 @@
 
 constexpr std::chrono::milliseconds probe_deadline{300};
 
+// Within this time after a restoration of the store, all routers have noticed it and registered
+// again; over twice the interval at which they read the list of routers.
+constexpr std::chrono::milliseconds router_registration_time{5'000};
+
 constexpr std::size_t max_header_bytes = 64 * 1024;
 constexpr std::size_t max_body_bytes = 16 * 1024 * 1024;
 
@@ -220,8 +225,12 @@
 
     void on_router_addresses(const std::vector<std::string>& addresses) override
     {
-        m_core.m_router_count = addresses.size();
-        m_gossip.set_routers(addresses);
+        // After a restoration of the store, routers are missing until they have registered again.
+        if (steady::now() >= m_routers_complete_at)
+            m_router_addresses.clear();
+        m_router_addresses.insert(addresses.begin(), addresses.end());
+        m_core.m_router_count = m_router_addresses.size();
+        m_gossip.set_routers({m_router_addresses.begin(), m_router_addresses.end()});
     }
 
     void on_store_unavailable() override
@@ -237,6 +246,7 @@
         m_core.m_metrics.counter("fulmaryard_router_store_restorations_total").add();
         m_core.m_membership.on_store_restored(steady::now());
         m_layers.on_store_restored();
+        m_routers_complete_at = steady::now() + router_registration_time;
     }
 
     void on_store_recovered() override
@@ -625,6 +635,8 @@
     steady::time_point m_exit_deadline;  ///< Latest exit time; set when the drain begins.
     bool m_stopped{false};
     bool m_store_reachable{true};
+    std::set<std::string> m_router_addresses;
+    steady::time_point m_routers_complete_at; ///< Until then, a listing may lack routers.
 };
 
 router_process::router_process(
