Calls and streams: say "not run" only if no endpoint may have read the request

A request on a kept connection that the endpoint closes is sent again over a new one. If that one could not be opened, the attempt counted as not sent, and the caller got 503, which promises that the request has not run, although the endpoint had read it. run_history knows of both sends and decides now, for calls and streams.

--- a/src/layer_controller.hpp
+++ b/src/layer_controller.hpp
@@ -94,7 +94,7 @@
     std::map<std::string, domain_state> m_domains; ///< By "service/failure domain".
     std::chrono::steady_clock::time_point m_next_plan;
     bool m_plan_outdated{false}; ///< The stored plan may be an older one than was carried out.
-    bool m_lease_held{false}; ///< Whether the lease was held at the last tick.
+    bool m_lease_held{false};    ///< Whether the lease was held at the last tick.
 };
 
 } // namespace fulmaryard
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -84,8 +84,7 @@
         if (m_endpoint.empty() && co_await wait_until_work_is_wanted())
             continue;
         if (m_endpoint.empty())
-            co_return co_await finish(
-                m_may_have_run ? attempt_outcome::unknown : attempt_outcome::not_run);
+            co_return co_await finish(attempt_outcome::not_run);
         ++m_core.m_plain_calls[m_endpoint];
         const auto end = co_await attempt();
         if (--m_core.m_plain_calls[m_endpoint] == 0)
@@ -94,14 +93,8 @@
         m_tried_endpoints.insert(m_endpoint);
         if (m_client_disconnected)
             break;
-        m_may_have_run = m_may_have_run || end != attempt_outcome::not_run;
         if (end == attempt_outcome::answered || !may_retry(end))
-        {
-            // A refusal tells the caller that no endpoint ran the call, so it must not be sent if
-            // an earlier attempt may have run it.
-            const bool may_have_run = end == attempt_outcome::not_run && m_may_have_run;
-            co_return co_await finish(may_have_run ? attempt_outcome::unknown : end);
-        }
+            co_return co_await finish(end);
     }
 }
 
@@ -133,9 +126,9 @@
     // The route's limit counts sent calls only, so a failed connect is not charged to it.
     if (end == attempt_outcome::not_run && m_send_count == 0)
         return true;
-    if (end != attempt_outcome::not_run && !idempotent())
+    if (m_history.may_have_run() && !idempotent())
         return false;
-    return m_send_count < m_accepted.m_route.m_max_attempts &&
+    return m_history.count() < m_accepted.m_route.m_max_attempts &&
            m_core.try_retry(m_accepted.m_service);
 }
 
@@ -147,7 +140,7 @@
     const auto address = record->m_address;
     m_attempt_deadline = m_accepted.m_end - response_margin;
     // An idempotent call keeps 2/5 of the remaining time for further attempts.
-    if (idempotent() && m_send_count + 1 < m_accepted.m_route.m_max_attempts)
+    if (idempotent() && m_history.count() + 1 < m_accepted.m_route.m_max_attempts)
         m_attempt_deadline = std::min(m_attempt_deadline, now + (m_attempt_deadline - now) * 3 / 5);
     // A faulty endpoint may write its refusal of this call again on the connection of that refusal.
     if (!m_tried_endpoints.contains(m_endpoint))
@@ -178,6 +171,7 @@
         co_return attempt_outcome::not_run;
     // The record may be removed while the connection is opened.
     const auto started_ms = record->m_started_ms;
+    const endpoint_run run{m_endpoint, started_ms, record->m_address};
     call_target target;
     target.m_endpoint = m_endpoint;
     target.m_address = record->m_address;
@@ -203,6 +197,7 @@
     target.m_time_left = m_accepted.time_left(steady::now());
     const auto request = m_core.m_protocol.write_call(m_accepted.m_call, target);
     ++m_send_count;
+    m_history.on_sent(run);
     log_event(log_level::info, "call_sent")
         .with("request", m_accepted.m_call.m_id)
         .with("attempt", m_attempt_count)
@@ -237,7 +232,10 @@
             continue;
         m_core.m_channels.put(std::move(m_channel), steady::now());
         if (head.m_not_run)
+        {
+            m_history.on_refused(run, true);
             co_return attempt_outcome::not_run;
+        }
         const bool success = head.m_status < 300;
         if (success && !head.m_signed)
             co_return attempt_outcome::unknown;
@@ -262,6 +260,10 @@
 asio::awaitable<void> plain_session::finish(attempt_outcome end)
 {
     constexpr std::array outcome_names{"answered", "not_run", "unknown", "failed"};
+    // A refusal tells the caller that no endpoint ran the call, so it must not be sent if an
+    // earlier send may have run it.
+    if (end == attempt_outcome::not_run && m_history.may_have_run())
+        end = attempt_outcome::unknown;
     const auto now = steady::now();
     const auto outcome = outcome_names[static_cast<std::size_t>(end)];
     m_core.m_metrics
--- a/src/plain_session.hpp
+++ b/src/plain_session.hpp
@@ -6,6 +6,7 @@
 
 #include <fulmaryard/answer_head.hpp>
 #include <fulmaryard/http_exchange.hpp>
+#include <fulmaryard/run_history.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -80,7 +81,7 @@
     accepted_call::time_point m_attempt_deadline;
     std::uint32_t m_send_count{0};    ///< How often the call was sent to an endpoint.
     std::uint32_t m_attempt_count{0}; ///< Attempts, including those that failed to connect.
-    bool m_may_have_run{false};       ///< An endpoint may have run the call in an earlier attempt.
+    run_history m_history;            ///< Endpoints that the call was sent to.
     bool m_client_disconnected{false};
 };
 
--- a/src/stream_quarantine.cpp
+++ b/src/stream_quarantine.cpp
@@ -83,7 +83,7 @@
 {
     m_core.m_metrics.counter("fulmaryard_router_quarantine_refusals_total").add();
     const std::string_view reason = "a part of the prompt crashes endpoints";
-    if (m_may_have_run || m_responded)
+    if (m_history.may_have_run() || m_responded)
         co_return co_await fail_request(reason);
     const auto held =
         std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - m_accepted.m_arrival);
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -286,14 +286,13 @@
             co_return co_await refuse_quarantined(prompt_quarantine::initial_duration);
         if (!reserved)
         {
-            if (m_may_have_run)
+            if (m_history.may_have_run())
                 co_return co_await fail_request("no path to resume the stream");
             co_return co_await refuse("no room");
         }
         const auto end = co_await attempt();
         if (end == attempt_outcome::broken && !m_client_disconnected && !within_route_limit())
             co_await check_ended_runs();
-        m_may_have_run = m_may_have_run || end == attempt_outcome::broken;
         m_channel.reset();
         release_path();
         if (m_client_disconnected)
@@ -305,7 +304,7 @@
         if (may_retry(end))
             continue;
         // A refusal guarantees that nothing was executed.
-        if (!m_may_have_run)
+        if (!m_history.may_have_run())
             co_return co_await refuse("refused by its endpoints");
         co_return co_await fail_request("broken off");
     }
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -158,7 +158,6 @@
     bool m_abandoned{false};           ///< The current attempt was aborted by this router.
     bool m_is_retry{false};            ///< The caller retries after a refusal with Retry-After.
     bool m_responded{false};           ///< A response to the caller has begun.
-    bool m_may_have_run{false};        ///< An attempt was sent and may have executed.
 };
 
 } // namespace fulmaryard
--- a/tests/process/route_attempts_test.cpp
+++ b/tests/process/route_attempts_test.cpp
@@ -94,4 +94,44 @@
     CHECK(endpoints.reached("call-1") <= route_attempts);
 }
 
+TEST_CASE("a request on a kept connection that its endpoint closes as it ends")
+{
+    // Guards against a refusal that says "not run" of a request that an endpoint has read.
+    scripted_endpoint* endpoint = nullptr;
+    scripted_endpoint scripted(
+        [&](const std::string& call, int) -> scripted_endpoint::reply
+        {
+            if (call.starts_with("last"))
+            {
+                endpoint->stop_listening();
+                return {"", true};
+            }
+            return {begun_stream(call) + "9\r\nid: 1\nx\n\n\r\n0\r\n\r\n", false};
+        });
+    endpoint = &scripted;
+    std::string method = "GET";
+    std::string target = "/look/1";
+    std::optional<layer_range> layers;
+    SUBCASE("to a plain service") {}
+    SUBCASE("for a stream")
+    {
+        method = "POST";
+        target = "/chat/1";
+        layers = layer_range{0, 6};
+    }
+    scripted_endpoint second([](const std::string&, int) { return scripted_endpoint::reply{}; });
+    router_system system(0, 0);
+    system.add_endpoint("second", second, layer_range{6, 12});
+    system.add_endpoint("scripted", scripted, layers);
+    system.start_router("router-1");
+    const test_client client(system.address("router-1"));
+    const auto first = client.send(router_system::make_request(method, target, "first"));
+    REQUIRE(first.ok());
+    REQUIRE(first->m_status == 200);
+    const auto last = client.send(router_system::make_request(method, target, "last"));
+    REQUIRE(last.ok());
+    CHECK(scripted.arrivals("last") == 1);
+    CHECK(last->m_status == 502);
+}
+
 TEST_SUITE_END();
--- a/tests/process/scripted_endpoint.cpp
+++ b/tests/process/scripted_endpoint.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <sys/socket.h>
+
 namespace fulmaryard::process_tests
 {
 
@@ -79,6 +81,12 @@
     m_reports = mode;
 }
 
+void scripted_endpoint::stop_listening()
+{
+    // Closing the socket would not end the accept that is in progress.
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+}
+
 scripted_endpoint::reply scripted_endpoint::report() const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/process/scripted_endpoint.hpp
+++ b/tests/process/scripted_endpoint.hpp
@@ -54,6 +54,9 @@
 
     void set_reports(report_mode mode);
 
+    /// Refuses new connections from now on.
+    void stop_listening();
+
 private:
     void accept();
     void serve(boost::asio::ip::tcp::socket& socket);
