--- a/tests/standins/pipeline_main.cpp
+++ b/tests/standins/pipeline_main.cpp
@@ -52,6 +52,14 @@
                                           .count());
 }
 
+/// Puts `entry` before the entries of a page that has some.
+void add_odd_entry(std::string& page, const std::string& entry)
+{
+    const auto array = page.find(":[{");
+    if (array != std::string::npos)
+        page.insert(array + 2, entry + ",");
+}
+
 /// Objects by kind and name with one shared revision counter, which clients list and watch.
 class object_table
 {
@@ -108,6 +116,9 @@
         ++m_era;
     }
 
+    /// Adds bytes that another writer left among the entries of the endpoints.
+    void set_odd_entry(std::string text) { m_odd_entry = std::move(text); }
+
     /// Number of times that the store was restored.
     std::uint64_t era() const { return m_era; }
 
@@ -127,6 +138,7 @@
     std::uint64_t m_revision{1};
     std::uint64_t m_history_start{0};
     std::uint64_t m_era{1};
+    std::string m_odd_entry;
     objects_by_kind m_objects;
     saved_copy m_copy;
     std::deque<change> m_changes;
@@ -162,8 +174,11 @@
     json::array items;
     for (const auto& [name, object] : m_objects[kind])
         items.push_back(object);
-    return json_response(
+    auto response = json_response(
         200, json::object{{"items", items}, {"has_more", false}, {"as_of", m_revision}});
+    if (kind == "servers" && !m_odd_entry.empty())
+        add_odd_entry(response.m_body, m_odd_entry);
+    return response;
 }
 
 json::array object_table::changes(const std::string& kind, std::uint64_t after) const
@@ -213,8 +228,12 @@
             co_return error_response(410, "this history is gone");
         events = changes(kind, after);
     }
-    co_return json_response(
-        200, json::object{{"events", std::move(events)}, {"as_of", m_revision}});
+    const bool is_odd = kind == "servers" && !events.empty() && !m_odd_entry.empty();
+    auto response =
+        json_response(200, json::object{{"events", std::move(events)}, {"as_of", m_revision}});
+    if (is_odd)
+        add_odd_entry(response.m_body, fmt::format(R"({{"object":{}}})", m_odd_entry));
+    co_return response;
 }
 
 struct hop
@@ -845,6 +864,8 @@
     m_store_delay = std::chrono::milliseconds(number_of(order, "store_delay_ms", 0));
     if (flag_of(order, "drop_history"))
         m_objects.drop_history();
+    if (order.contains("odd_entry"))
+        m_objects.set_odd_entry(text_of(order, "odd_entry"));
     if (flag_of(order, "save_copy"))
         m_objects.save_copy();
     if (flag_of(order, "restore_copy"))
