Routers: answer the requests that are left before the process exits

In a planned stop, calls that endpoints still ran at the end of the grace were cut without an answer, among them ones that may run once and ones that were taken after SIGTERM. The router now ends its open requests 0.4 s before SIGKILL: their callers get 502, or 503 if nothing was sent, and a stream that has begun is broken off. Late in the grace, a stream without a limit of its length counts with its whole deadline. process.planned_stop failed before for three calls and passes.

--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -54,9 +54,20 @@
       m_exchange(exchange),
       m_accepted(std::move(accepted))
 {
+    m_core.m_open_sessions.insert(this);
 }
 
-plain_session::~plain_session() = default;
+plain_session::~plain_session()
+{
+    m_core.m_open_sessions.erase(this);
+}
+
+void plain_session::end()
+{
+    m_ended = true;
+    if (m_channel != nullptr)
+        m_channel->close();
+}
 
 asio::awaitable<void> plain_session::run()
 {
@@ -104,7 +115,7 @@
     const auto latest = std::min(
         m_accepted.m_arrival + m_accepted.m_route.m_latency_objective / waiting_objective_divisor,
         m_accepted.m_end - response_margin);
-    if (!wanted || *wanted > latest || m_client_disconnected)
+    if (!wanted || *wanted > latest || m_client_disconnected || m_ended)
         co_return false;
     asio::steady_timer timer(m_core.m_io, *wanted + random_spread(latest - *wanted));
     co_await timer.async_wait(use_tuple);
@@ -121,7 +132,8 @@
 
 bool plain_session::may_retry(attempt_outcome end)
 {
-    if (m_attempt_count >= max_attempts || steady::now() + response_margin >= m_accepted.m_end)
+    if (m_ended || m_attempt_count >= max_attempts ||
+        steady::now() + response_margin >= m_accepted.m_end)
         return false;
     // The route's limit counts sent calls only, so a failed connect is not charged to it.
     if (end == attempt_outcome::not_run && m_send_count == 0)
@@ -153,7 +165,7 @@
     auto end = co_await send_and_receive(reused, connection_stale);
     // If the pooled connection was closed, sends an idempotent call again on a new connection. The
     // endpoint may have received the first one, so this counts as a retry.
-    if (connection_stale && idempotent() && !m_client_disconnected &&
+    if (connection_stale && idempotent() && !m_client_disconnected && !m_ended &&
         steady::now() < m_attempt_deadline && m_core.try_retry(m_accepted.m_service))
     {
         m_channel.reset();
@@ -183,7 +195,7 @@
             target.m_address, std::min(m_attempt_deadline, steady::now() + connect_deadline));
         if (!status.ok())
         {
-            if (!m_client_disconnected)
+            if (!m_client_disconnected && !m_ended)
                 m_core.suspect_after(m_endpoint, status);
             co_return attempt_outcome::not_run;
         }
--- a/src/plain_session.hpp
+++ b/src/plain_session.hpp
@@ -2,6 +2,7 @@
 #define FULMARYARD_PLAIN_SESSION_HPP
 
 #include "accepted_call.hpp"
+#include "open_session.hpp"
 #include "router_core.hpp"
 
 #include <fulmaryard/answer_head.hpp>
@@ -22,17 +23,19 @@
 /// Processes one call to a plain service, whose endpoints return a complete response instead of an
 /// event stream: sends the call to an endpoint, retries it and responds to the client. A call that
 /// is not idempotent is retried only if no endpoint can have run it.
-class plain_session
+class plain_session : public open_session
 {
 public:
     plain_session(router_core& core, http_exchange& exchange, accepted_call accepted);
-    ~plain_session();
+    ~plain_session() override;
 
     plain_session(const plain_session&) = delete;
     plain_session& operator=(const plain_session&) = delete;
 
     boost::asio::awaitable<void> run();
 
+    void end() override;
+
 private:
     enum class attempt_outcome
     {
@@ -83,6 +86,7 @@
     std::uint32_t m_attempt_count{0}; ///< Attempts, including those that failed to connect.
     run_history m_history;            ///< Endpoints that the call was sent to.
     bool m_client_disconnected{false};
+    bool m_ended{false}; ///< The process exits.
 };
 
 } // namespace fulmaryard
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -40,6 +40,7 @@
 namespace fulmaryard
 {
 
+class open_session;
 class router_streams;
 
 /// State shared by the components of a router: membership, health and load of endpoints, budgets
@@ -173,6 +174,7 @@
     /// The part of `m_reported_layers` that this process observed and sends to other routers.
     std::map<std::string, std::pair<std::uint64_t, layer_range>> m_observed_layers;
     std::map<std::string, std::int64_t> m_plain_calls; ///< In flight, by endpoint id.
+    std::set<open_session*> m_open_sessions;
     std::function<void()> m_on_capacity; ///< Called when capacity may have become free.
     std::function<void()> m_on_suspect;  ///< Called when an endpoint becomes suspected.
     known_versions m_versions;
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -1,5 +1,6 @@
 #include "accepted_call.hpp"
 #include "layer_controller.hpp"
+#include "open_session.hpp"
 #include "plain_session.hpp"
 #include "router_core.hpp"
 #include "router_gossip.hpp"
@@ -52,9 +53,12 @@
 // the process exits are served.
 constexpr std::chrono::milliseconds min_drain_time{2'500};
 
-// The process exits this long before SIGKILL.
+// Requests are ended this long before SIGKILL.
 constexpr std::chrono::milliseconds exit_margin_before_kill{400};
 
+// Time for the answers to these requests before the process exits.
+constexpr std::chrono::milliseconds final_answer_time{200};
+
 // Requests that arrive before the first configuration and list of endpoints wait for these until
 // this long after the start, at most a third of their deadline. The store normally answers within
 // a few milliseconds, and a caller that comes back after a restart may have no further retry.
@@ -609,6 +613,15 @@
             co_await timer.async_wait(use_tuple);
         }
         m_caller_server.stop_accepting();
+        // The callers that are left learn what became of their requests.
+        for (auto* session : m_core.m_open_sessions)
+            session->end();
+        const auto exit = m_exit_deadline + final_answer_time;
+        while (m_caller_server.active_exchanges() > 0 && steady::now() < exit)
+        {
+            timer.expires_after(tick_interval);
+            co_await timer.async_wait(use_tuple);
+        }
         m_lifecycle.finish_drain();
         m_stopped = true;
         m_io.stop();
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -124,15 +124,25 @@
       m_queue_timer(exchange.executor()),
       m_last_event_id(m_accepted.m_call.m_resume_after)
 {
+    m_core.m_open_sessions.insert(this);
 }
 
 stream_session::~stream_session()
 {
+    m_core.m_open_sessions.erase(this);
     release_path();
     m_core.m_wait_queue.remove(m_id);
     m_core.m_streams->remove(m_id);
 }
 
+void stream_session::end()
+{
+    m_ended = true;
+    m_queue_timer.cancel();
+    if (m_channel != nullptr)
+        m_channel->close();
+}
+
 const routed_service* stream_session::service() const
 {
     return m_table->find_service(m_accepted.m_service);
@@ -195,6 +205,8 @@
     if (m_accepted.m_shutdown_deadline == time_point::max())
         return false;
     const double tokens = static_cast<double>(m_accepted.m_call.m_max_answer_tokens);
+    if (tokens == 0)
+        return m_accepted.m_end > m_accepted.m_shutdown_deadline; // No limit is known.
     const double max_duration_ms =
         2 * tokens *
             (m_core.path_decode_ms(*service(), path, 0) + static_cast<double>(path.size())) +
@@ -291,7 +303,8 @@
             co_return co_await refuse("no room");
         }
         const auto end = co_await attempt();
-        if (end == attempt_outcome::broken && !m_client_disconnected && !within_route_limit())
+        if (end == attempt_outcome::broken && !m_client_disconnected && !m_ended &&
+            !within_route_limit())
             co_await check_ended_runs();
         m_channel.reset();
         release_path();
@@ -313,7 +326,7 @@
 bool stream_session::may_retry(attempt_outcome end)
 {
     const auto now = steady::now();
-    if (now + response_margin >= m_accepted.m_end || m_attempt_count >= max_attempts)
+    if (m_ended || now + response_margin >= m_accepted.m_end || m_attempt_count >= max_attempts)
         return false;
     if (m_quarantined ||
         (m_crashed && !m_core.m_quarantine.may_repeat(m_accepted.m_call.m_shared_parts, now)))
@@ -355,7 +368,7 @@
     }
     if (m_accepted.m_shutdown_deadline != time_point::max())
         co_return false;
-    if (is_first_attempt && !m_core.m_wait_queue.may_wait(request, start))
+    if (m_ended || (is_first_attempt && !m_core.m_wait_queue.may_wait(request, start)))
         co_return false;
     if (const auto wanted = m_core.work_wanted_at(m_accepted.m_service);
         wanted && *wanted > request.m_latest_start)
@@ -368,11 +381,12 @@
         .with("tokens", m_tokens)
         .with("returning", m_is_retry)
         .with("priority", m_accepted.m_priority);
-    while (!m_client_disconnected && !m_quarantined && steady::now() < request.m_latest_start)
+    while (!m_client_disconnected && !m_quarantined && !m_ended &&
+           steady::now() < request.m_latest_start)
     {
         m_queue_timer.expires_at(request.m_latest_start);
         co_await m_queue_timer.async_wait(use_tuple);
-        if (m_client_disconnected || m_quarantined || m_core.m_wait_queue.next() != m_id)
+        if (m_client_disconnected || m_quarantined || m_ended || m_core.m_wait_queue.next() != m_id)
             continue;
         auto path = m_core.find_path(
             *service(), m_tokens, context_tokens(), max_prefill_wait(), m_excluded_first_endpoints);
@@ -402,7 +416,7 @@
     const auto status = co_await m_channel->connect(address, now + connect_deadline);
     if (status.ok())
         co_return std::nullopt;
-    if (!m_client_disconnected && !m_abandoned && !m_quarantined)
+    if (!m_client_disconnected && !m_abandoned && !m_quarantined && !m_ended)
         m_core.suspect_after(m_path.front().m_endpoint, status);
     log_event(log_level::info, "attempt_unreachable")
         .with("request", m_accepted.m_call.m_id)
@@ -467,7 +481,7 @@
         else
             response = status;
         if (response.ok() || !reused || m_client_disconnected || m_abandoned || m_quarantined ||
-            !m_core.try_retry(m_accepted.m_service))
+            m_ended || !m_core.try_retry(m_accepted.m_service))
             break;
         log_event(log_level::info, "request_sent_again")
             .with("request", m_accepted.m_call.m_id)
@@ -525,7 +539,7 @@
         m_core.m_refusals.on_accepted(hop.m_endpoint);
     const auto end = co_await relay_events(std::move(head));
     count_attempt_events(0, end == attempt_outcome::complete);
-    if (end == attempt_outcome::broken && !m_answer_counted && !m_abandoned &&
+    if (end == attempt_outcome::broken && !m_answer_counted && !m_abandoned && !m_ended &&
         !m_client_disconnected)
         co_await check_for_crash(started_ms);
     co_return end;
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -2,6 +2,7 @@
 #define FULMARYARD_STREAM_SESSION_HPP
 
 #include "accepted_call.hpp"
+#include "open_session.hpp"
 #include "router_core.hpp"
 
 #include <fulmaryard/answer_head.hpp>
@@ -23,13 +24,13 @@
 
 /// Relays one streaming request over a path of endpoints, and resumes it over another path if an
 /// endpoint is lost. The caller receives one response without missing or repeated events.
-class stream_session
+class stream_session : public open_session
 {
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
     stream_session(router_core& core, http_exchange& exchange, accepted_call accepted);
-    ~stream_session();
+    ~stream_session() override;
 
     stream_session(const stream_session&) = delete;
     stream_session& operator=(const stream_session&) = delete;
@@ -67,6 +68,8 @@
     /// endpoint has begun to answer.
     void on_quarantine();
 
+    void end() override;
+
     /// Switches to `path` after the first endpoint of the stream has accepted the repath order.
     void on_repath(std::vector<path_hop> path);
 
@@ -153,6 +156,7 @@
     std::uint64_t m_attempt_events{0}; ///< Events of the current attempt.
     bool m_answer_counted{false};      ///< The current attempt counted as answered.
     bool m_crashed{false};             ///< The last attempt crashed its first endpoint.
+    bool m_ended{false};               ///< The process exits.
     bool m_quarantined{false};         ///< A part of the prompt was quarantined meanwhile.
     bool m_answer_began{false};        ///< The current attempt was answered with success so far.
     bool m_abandoned{false};           ///< The current attempt was aborted by this router.
