--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -306,8 +306,8 @@
             co_return co_await refuse("no room");
         }
         const auto end = co_await attempt();
-        if (end == attempt_outcome::broken && !m_client_disconnected && !m_ended &&
-            !within_route_limit())
+        if (end == attempt_outcome::broken && m_accepted.m_route.m_resumable &&
+            !m_client_disconnected && !m_ended && !within_route_limit())
             co_await check_ended_runs();
         m_channel.reset();
         release_path();
