--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -560,7 +560,8 @@
         if (!response.ok())
         {
             // The endpoint may have ended since it fell silent.
-            m_core.suspect_after(endpoint, response.status());
+            if (kind_of(response.status()) == failure_kind::connection_refused)
+                m_core.suspect_after(endpoint, response.status());
             co_return;
         }
         m_core.clear_suspicion(endpoint);
