Streams: an endpoint leaves the count only by proof that is newer than the send

Review of the first matter: the end of a run was remembered for 60 s and looked up by the start time of an entry that may be old, so sends to the endpoint's next run did not count either; a refused connection could be charged to a run that began meanwhile; and an attempt that was sent over a kept connection and could not be sent again skipped the limit. The end is now asked for after the send, at the address of the send, and not remembered. The same proof decides whether an endpoint crashed under a prompt, where any suspicion of failure did. Found by reading; without a test of its own.

--- a/include/fulmaryard/endpoint_health.hpp
+++ b/include/fulmaryard/endpoint_health.hpp
@@ -46,9 +46,6 @@
     /// load of a typical range of layers elsewhere.
     static constexpr std::chrono::milliseconds silence_until_lost{2'000};
 
-    /// How long the end of a run is remembered; longer than requests last.
-    static constexpr std::chrono::seconds end_lifetime{60};
-
     /// Marks an endpoint as suspected. `started_ms`, its start time in Unix milliseconds,
     /// identifies the run. Returns true if this process did not suspect that run yet for this or a
     /// stronger cause. Silence is ignored while the endpoint is known to be alive.
@@ -73,14 +70,6 @@
     void on_peer_silence(
         const std::string& router, const std::string& id, std::uint64_t started_ms, time_point now);
 
-    /// Records that nothing listens at the address of the endpoint, so that the run that began at
-    /// `started_ms` has ended.
-    void on_ended(const std::string& id, std::uint64_t started_ms, time_point now);
-
-    /// Whether that run is known to have ended. Unlike a suspicion, this is proof; it is kept for
-    /// `end_lifetime`.
-    bool ended(const std::string& id, std::uint64_t started_ms) const;
-
     /// Clears this process's own suspicion, since the endpoint answered. Returns true if there was
     /// one.
     bool clear(const std::string& id);
@@ -128,12 +117,6 @@
         time_point m_until;
     };
 
-    struct ended_run
-    {
-        std::uint64_t m_started_ms{0};
-        time_point m_noticed;
-    };
-
     struct reported_slowdown
     {
         double m_slowdown{1};
@@ -154,7 +137,6 @@
 
     std::map<std::string, time_point> m_alive_at; ///< Last sign of life by endpoint id.
     std::map<std::string, peer_silence> m_peer_silences;
-    std::map<std::string, ended_run> m_ended; ///< The last run that ended, by endpoint id.
     time_point m_next_cleanup;
     std::map<std::string, reported_slowdown> m_slowdowns;
     std::map<std::string, own_suspicion> m_own;
--- a/src/endpoint_health.cpp
+++ b/src/endpoint_health.cpp
@@ -52,8 +52,6 @@
         m_alive_at, [now](const auto& entry) { return now - entry.second >= alive_lifetime; });
     std::erase_if(
         m_peer_suspicions, [now](const auto& entry) { return now >= entry.second.m_until; });
-    std::erase_if(
-        m_ended, [now](const auto& entry) { return now - entry.second.m_noticed > end_lifetime; });
     std::erase_if(
         m_slowdowns,
         [now](const auto& entry) { return now - entry.second.m_time > slowdown_lifetime; });
@@ -102,17 +100,6 @@
     return static_cast<std::size_t>(reports) >= min_silence_reports;
 }
 
-void endpoint_health::on_ended(const std::string& id, std::uint64_t started_ms, time_point now)
-{
-    m_ended[id] = {started_ms, now};
-}
-
-bool endpoint_health::ended(const std::string& id, std::uint64_t started_ms) const
-{
-    const auto found = m_ended.find(id);
-    return found != m_ended.end() && started_ms <= found->second.m_started_ms;
-}
-
 bool endpoint_health::clear(const std::string& id)
 {
     return m_own.erase(id) > 0;
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -41,7 +41,7 @@
 
 // Timeout of the query that finds out whether an endpoint's run has ended. A host refuses the
 // connection within a round trip.
-constexpr std::chrono::milliseconds end_check_timeout{250};
+constexpr std::chrono::milliseconds end_check_timeout{150};
 
 // Assumed number of routers that share a budget while the actual number is unknown.
 constexpr std::uint64_t default_router_count = 20;
@@ -220,22 +220,11 @@
            m_health.suspected(id, record->m_started_ms, std::chrono::steady_clock::now());
 }
 
-bool router_core::ended(const endpoint_run& run) const
-{
-    const auto* record = find_endpoint(run.m_endpoint);
-    return (record != nullptr && record->m_started_ms > run.m_started_ms) ||
-           m_health.ended(run.m_endpoint, run.m_started_ms);
-}
-
 boost::asio::awaitable<bool> router_core::check_ended(endpoint_run run)
 {
-    if (ended(run))
-        co_return true;
     const auto response = co_await call_endpoint(
         m_channels, run.m_address, m_protocol.write_load_query(), end_check_timeout);
-    if (!response.ok() && kind_of(response.status()) == failure_kind::connection_refused)
-        m_health.on_ended(run.m_endpoint, run.m_started_ms, std::chrono::steady_clock::now());
-    co_return ended(run);
+    co_return !response.ok() && kind_of(response.status()) == failure_kind::connection_refused;
 }
 
 layer_range router_core::layers_of(const endpoint_record& record) const
@@ -248,9 +237,6 @@
 
 void router_core::suspect_after(const std::string& id, const absl::Status& status)
 {
-    const auto* record = find_endpoint(id);
-    if (record != nullptr && kind_of(status) == failure_kind::connection_refused)
-        m_health.on_ended(id, record->m_started_ms, std::chrono::steady_clock::now());
     const bool timeout = kind_of(status) == failure_kind::deadline_exceeded;
     suspect(id, message_of(status), timeout ? suspicion_cause::silence : suspicion_cause::failure);
 }
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -115,12 +115,9 @@
     /// longer listed does not count as lost, since it may still finish its running requests.
     bool lost(const std::string& id) const;
 
-    /// Whether a run of an endpoint is proved to have ended: nothing listened at its address, or
-    /// the endpoint has started again. Silence, broken connections and a removed entry prove
-    /// nothing.
-    bool ended(const endpoint_run& run) const;
-
-    /// Finds out whether a run has ended, by a query to its address.
+    /// Finds out by a query to its address whether a run of an endpoint has ended: nothing listens
+    /// there. Silence, broken connections, a removed entry and a later start time prove nothing of
+    /// what was sent before: the entry that was known then may have been old.
     boost::asio::awaitable<bool> check_ended(endpoint_run run);
 
     /// Layers that the endpoint holds, by its membership entry or by a newer report.
--- a/src/stream_quarantine.cpp
+++ b/src/stream_quarantine.cpp
@@ -23,10 +23,6 @@
 
 using steady = std::chrono::steady_clock;
 
-// Timeout of the query that finds out whether an endpoint has crashed. A crashed one refuses the
-// connection within a round trip.
-constexpr std::chrono::milliseconds crash_check_timeout{250};
-
 // An endpoint whose answer ends before this many events may have crashed under its prompt.
 constexpr std::uint64_t min_sound_events = 2;
 
@@ -47,15 +43,12 @@
     const auto first = m_path.front();
     if (parts.empty())
         co_return;
-    http_request query = m_core.m_protocol.write_load_query();
-    const auto response =
-        co_await m_core.call(first.m_endpoint, std::move(query), crash_check_timeout);
-    if (!response.ok() && m_core.find_endpoint(first.m_endpoint) != nullptr)
-        m_core.suspect_after(first.m_endpoint, response.status());
+    const bool ended = co_await m_core.check_ended({first.m_endpoint, started_ms, first.m_address});
+    if (ended)
+        m_core.suspect(first.m_endpoint, "connection refused");
     const auto now = steady::now();
     const auto* record = m_core.find_endpoint(first.m_endpoint);
-    m_crashed = record != nullptr && (record->m_started_ms != started_ms ||
-                                      m_core.m_health.failed(first.m_endpoint, started_ms, now));
+    m_crashed = record != nullptr && (ended || record->m_started_ms != started_ms);
     if (!m_crashed)
         co_return;
     log_event(log_level::info, "endpoint_crashed")
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -306,8 +306,9 @@
             co_return co_await refuse("no room");
         }
         const auto end = co_await attempt();
-        if (end == attempt_outcome::broken && m_accepted.m_route.m_resumable &&
-            !m_client_disconnected && !m_ended && !within_route_limit())
+        const bool was_sent = end == attempt_outcome::broken || end == attempt_outcome::unreachable;
+        if (was_sent && m_accepted.m_route.m_resumable && !m_client_disconnected && !m_ended &&
+            !within_route_limit())
             co_await check_ended_runs();
         m_channel.reset();
         release_path();
@@ -336,10 +337,10 @@
         return false;
     if (!m_accepted.m_route.m_resumable && m_history.may_have_run())
         return false;
-    if (end == attempt_outcome::unreachable)
-        return true;
     if (!within_route_limit())
         return false;
+    if (end == attempt_outcome::unreachable)
+        return true;
     // `abandon_attempt` has already charged this retry to the retry budget.
     return m_abandoned || m_core.try_retry(m_accepted.m_service);
 }
@@ -646,13 +647,8 @@
     co_return attempt_outcome::complete;
 }
 
-bool stream_session::within_route_limit()
+bool stream_session::within_route_limit() const
 {
-    for (const auto& run : m_history.counted())
-    {
-        if (m_core.ended(run))
-            m_history.on_ended(run);
-    }
     return m_history.count() < m_accepted.m_route.m_max_attempts;
 }
 
@@ -660,6 +656,8 @@
 {
     for (const auto& run : m_history.counted())
     {
+        if (m_ended)
+            co_return;
         if (co_await m_core.check_ended(run))
             m_history.on_ended(run);
     }
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -121,7 +121,7 @@
     void record_event_interval(std::chrono::steady_clock::duration interval);
     const routed_service* service() const;
     /// Whether the route permits that the request is sent to another endpoint.
-    bool within_route_limit();
+    bool within_route_limit() const;
     /// Finds out which of the endpoints that count toward the route's limit have ended.
     boost::asio::awaitable<void> check_ended_runs();
     void log_attempt_broken(std::string_view reason);
