--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -6,8 +6,6 @@
 #include <fulmaryard/metric_counter.hpp>
 #include <fulmaryard/metric_histogram.hpp>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -52,7 +50,8 @@
 plain_session::plain_session(router_core& core, http_exchange& exchange, accepted_call accepted)
     : m_core(core),
       m_exchange(exchange),
-      m_accepted(std::move(accepted))
+      m_accepted(std::move(accepted)),
+      m_wait_timer(core.m_io)
 {
     m_core.m_open_sessions.insert(this);
 }
@@ -65,6 +64,7 @@
 void plain_session::end()
 {
     m_ended = true;
+    m_wait_timer.cancel();
     if (m_channel != nullptr)
         m_channel->close();
 }
@@ -117,10 +117,10 @@
         m_accepted.m_end - response_margin);
     if (!wanted || *wanted > latest || m_client_disconnected || m_ended)
         co_return false;
-    asio::steady_timer timer(m_core.m_io, *wanted + random_spread(latest - *wanted));
-    co_await timer.async_wait(use_tuple);
+    m_wait_timer.expires_at(*wanted + random_spread(latest - *wanted));
+    co_await m_wait_timer.async_wait(use_tuple);
     m_client_disconnected = m_client_disconnected || m_exchange.client_disconnected();
-    co_return !m_client_disconnected;
+    co_return !m_client_disconnected && !m_ended;
 }
 
 std::chrono::steady_clock::duration
--- a/src/plain_session.hpp
+++ b/src/plain_session.hpp
@@ -10,6 +10,7 @@
 #include <fulmaryard/run_history.hpp>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -87,6 +88,8 @@
     run_history m_history;            ///< Endpoints that the call was sent to.
     bool m_client_disconnected{false};
     bool m_ended{false}; ///< The process exits.
+    /// Runs while the call waits for an endpoint that wants work.
+    boost::asio::steady_timer m_wait_timer;
 };
 
 } // namespace fulmaryard
