--- a/include/fulmaryard/endpoint_membership.hpp
+++ b/include/fulmaryard/endpoint_membership.hpp
@@ -31,7 +31,7 @@
     static constexpr std::chrono::milliseconds relisting_grace{2'200};
 
     /// Time after a restoration of the store in which its listings may hold entries of the copy. An
-    /// endpoint that is gone is no longer listed by then: its heartbeats of 1.2 s are missing.
+    /// endpoint that is gone is no longer listed by then: it has missed three heartbeats of 1.2 s.
     static constexpr std::chrono::milliseconds restored_entry_grace{5'000};
 
     /// Removed runs are remembered for this long.
--- a/src/endpoint_membership.cpp
+++ b/src/endpoint_membership.cpp
@@ -44,7 +44,10 @@
             return false;
         }
         if (record.m_started_ms == known->second.m_started_ms)
+        {
             m_removal_times.erase(record.m_id);
+            known->second.m_leaving = known->second.m_leaving || record.m_leaving;
+        }
         return known->second != record;
     }
     const auto removed = m_removed.find(record.m_id);
@@ -84,8 +87,9 @@
     const bool maybe_expired =
         m_store_lost || (m_store_recovered_at && now - *m_store_recovered_at < relisting_grace);
     // An endpoint that announced its shutdown will not be listed again, so there is nothing to wait
-    // for.
-    if (maybe_expired && !found->second.m_leaving)
+    // for, unless the copy of a restored store lacks its entry.
+    const bool restored = m_restored_at && now - *m_restored_at < restored_entry_grace;
+    if (maybe_expired && (restored || !found->second.m_leaving))
         m_removal_times[id] = m_store_recovered_at.value_or(now) + relisting_grace;
     else
         erase(found, now);
@@ -102,6 +106,8 @@
         return;
     m_store_lost = false;
     m_store_recovered_at = now;
+    if (!m_held_back.empty())
+        m_restored_at = now;
     for (auto& [id, at] : m_removal_times)
         at = now + relisting_grace;
 }
@@ -120,13 +126,15 @@
     std::erase_if(
         m_removed,
         [now](const auto& entry) { return now - entry.second.m_removed >= removed_lifetime; });
-    if (m_restored_at && now - *m_restored_at >= restored_entry_grace)
+    if (m_store_lost)
+        return removed;
+    // The store had time to remove entries of endpoints that are gone, and to tell of it.
+    if (m_restored_at && now - *m_restored_at >= restored_entry_grace &&
+        now - m_store_recovered_at.value_or(now) >= relisting_grace)
     {
         for (const auto& [id, record] : std::exchange(m_held_back, {}))
             on_changed(record);
     }
-    if (m_store_lost)
-        return removed;
     for (auto entry = m_removal_times.begin(); entry != m_removal_times.end();)
     {
         if (now < entry->second)
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -536,9 +536,11 @@
     asio::awaitable<void> query_layers(std::string endpoint)
     {
         http_request query = m_core.m_protocol.write_load_query();
+        const auto* before = m_core.find_endpoint(endpoint);
+        const auto started_ms = before == nullptr ? 0 : before->m_started_ms;
         const auto response = co_await m_core.call(endpoint, std::move(query), probe_deadline);
         const auto* record = m_core.find_endpoint(endpoint);
-        if (!response.ok() || record == nullptr)
+        if (!response.ok() || record == nullptr || record->m_started_ms != started_ms)
             co_return;
         const auto load = m_core.m_protocol.read_load(*response);
         if (load.ok() && !record->m_accelerator.empty())
--- a/tests/unit/endpoint_membership_test.cpp
+++ b/tests/unit/endpoint_membership_test.cpp
@@ -48,6 +48,18 @@
         CHECK(endpoints.at("leaves").m_leaving);
         CHECK(endpoints.contains("stays"));
     }
+    SUBCASE("that say in their entries that they leave are believed")
+    {
+        membership.on_listing({record_of("stays", 1, true), record_of("leaves", 1)}, restored + 1s);
+        CHECK(endpoints.at("stays").m_leaving);
+    }
+    SUBCASE("that registered and left since the copy stay known as leaving")
+    {
+        membership.on_changed(record_of("new", 1, true));
+        membership.on_listing(copy, restored + 1s);
+        membership.on_changed(record_of("new", 1));
+        CHECK(endpoints.at("new").m_leaving);
+    }
     SUBCASE("that registered after the copy have time to register again")
     {
         membership.on_tick(restored + endpoint_membership::relisting_grace - 1ms);
@@ -83,6 +95,17 @@
             membership.on_tick(restored + endpoint_membership::restored_entry_grace);
             CHECK(endpoints.contains("goes"));
         }
+        SUBCASE("also while the store cannot say that they are gone")
+        {
+            membership.on_store_unavailable(restored + 1s);
+            membership.on_tick(restored + 30s);
+            CHECK_FALSE(endpoints.contains("goes"));
+            membership.on_store_recovered(restored + 30s);
+            membership.on_tick(restored + 31s);
+            CHECK_FALSE(endpoints.contains("goes"));
+            membership.on_tick(restored + 30s + endpoint_membership::restored_entry_grace);
+            CHECK(endpoints.contains("goes"));
+        }
         SUBCASE("also if the store removes them once more")
         {
             membership.on_removed("goes", restored + 1s);
