Layers: discard the plan of an older copy in the store as well

Review: the holder ignored the plan of the copy but left it in the store, so a router that started later carried it out. It is replaced by an empty one. After a return, a process does not take the lease at once because the object names it: a late write of its own may have put it there. Found by reading; without a test of its own.

--- a/src/layer_controller.cpp
+++ b/src/layer_controller.cpp
@@ -155,10 +155,10 @@
             .with("error", message_of(object.status()));
         co_return;
     }
+    if (m_plan_outdated)
+        co_return co_await discard_plan(*object, epoch);
     layer_plan plan;
-    // Without a plan, endpoints keep the layers that they report, and only orders in progress are
-    // lost. One of an older copy would move layers back.
-    if (object->m_version != 0 && !std::exchange(m_plan_outdated, false))
+    if (object->m_version != 0)
     {
         const auto decoded = decode_layer_plan(object->m_value);
         if (decoded.ok())
@@ -181,6 +181,29 @@
         .with("epoch", epoch);
 }
 
+asio::awaitable<void> layer_controller::discard_plan(platform_object stored, std::uint64_t epoch)
+{
+    layer_plan empty;
+    empty.m_epoch = epoch;
+    m_busy = true;
+    const auto version = co_await m_store.put(
+        std::string(layer_plan_object_key), encode_layer_plan(empty), stored.m_version,
+        store_timeout);
+    m_busy = false;
+    if (!version.ok())
+    {
+        log_event(log_level::warning, "layer_plan_not_written")
+            .with("error", message_of(version.status()));
+        co_return;
+    }
+    if (!holds_lease() || m_lease.epoch() != epoch)
+        co_return;
+    m_plan_outdated = false;
+    m_plan = std::move(empty);
+    m_plan_version = *version;
+    m_loaded_epoch = epoch;
+}
+
 bool layer_controller::membership_stable(
     const std::string& domain, const std::vector<placement_member>& members, steady::time_point now)
 {
@@ -370,10 +393,12 @@
             planned->second.m_started_ms != record->m_started_ms)
             break;
         const auto target = planned->second.m_target.m_layers;
+        const auto started_ms = record->m_started_ms;
         http_request query = m_core.m_protocol.write_load_query();
         const auto response = co_await m_core.call(endpoint, std::move(query), endpoint_timeout);
         record = m_core.find_endpoint(endpoint);
-        if (record == nullptr)
+        // A report of one run says nothing of the next.
+        if (record == nullptr || record->m_started_ms != started_ms)
             break;
         if (!response.ok())
         {
--- a/src/layer_controller.hpp
+++ b/src/layer_controller.hpp
@@ -48,6 +48,10 @@
     void advance_lease();
     boost::asio::awaitable<void> run_lease_actions(lease_action action);
     boost::asio::awaitable<void> load_plan();
+    /// Replaces the stored plan, which may be of an older copy of the store and would move layers
+    /// back, by an empty one: endpoints then keep the layers that they report, and only orders in
+    /// progress are lost.
+    boost::asio::awaitable<void> discard_plan(platform_object stored, std::uint64_t epoch);
     boost::asio::awaitable<void> save_plan_and_order(std::vector<std::string> endpoints);
     boost::asio::awaitable<void> order(std::string endpoint);
     void plan(std::chrono::steady_clock::time_point now);
@@ -93,8 +97,9 @@
     std::set<std::string> m_active_orders;         ///< Endpoints for which `order` is running.
     std::map<std::string, domain_state> m_domains; ///< By "service/failure domain".
     std::chrono::steady_clock::time_point m_next_plan;
-    bool m_plan_outdated{false}; ///< The stored plan may be an older one than was carried out.
-    bool m_lease_held{false};    ///< Whether the lease was held at the last tick.
+    /// The stored plan may be of an older copy of the store, so it has to be discarded.
+    bool m_plan_outdated{false};
+    bool m_lease_held{false}; ///< Whether the lease was held at the last tick.
 };
 
 } // namespace fulmaryard
--- a/src/lease_holder.cpp
+++ b/src/lease_holder.cpp
@@ -34,6 +34,7 @@
     m_is_holder = true;
     m_result_unknown = false;
     m_has_observed_version = false;
+    m_acquire_after.reset();
     m_version = version;
     m_epoch = m_last_write.m_value.m_epoch;
     m_highest_epoch = std::max(m_highest_epoch, m_epoch);
@@ -130,9 +131,10 @@
     }
     // If the object still names this process, whose lease has expired locally, acquire it again
     // without waiting: no other process holds it, and the conditional write admits one candidate.
+    // After a restoration of the store, a late write of this process may have put its name there.
     const bool earlier_leases_expired = !m_acquire_after || now >= *m_acquire_after;
     const bool available =
-        current.m_epoch == 0 || current.m_holder == m_settings.m_process ||
+        current.m_epoch == 0 || (current.m_holder == m_settings.m_process && !m_acquire_after) ||
         now - m_observed_since >= std::chrono::milliseconds(current.m_duration_ms);
     if (!available || !earlier_leases_expired)
         return std::nullopt;
