--- a/tests/unit/page_parser_test.cpp
+++ b/tests/unit/page_parser_test.cpp
@@ -63,6 +63,17 @@
     CHECK(page->m_fields.at("has_more") == false);
 }
 
+TEST_CASE("an entry of the store that cannot be parsed and has a name")
+{
+    // The name is needed to continue a listing after the entry.
+    const auto odd = R"({"metadata":{"name":"q\"x"},"spec":)" + nested(1'000) + "}";
+    const auto page = parse_page(page_with(odd), "items");
+    REQUIRE(page.ok());
+    REQUIRE(page->m_entries.size() == 3);
+    CHECK(page->m_entries[1].at("metadata").at("name") == "q\"x");
+    CHECK_FALSE(page->m_entries[1].as_object().contains("spec"));
+}
+
 TEST_CASE("a page of the store that can be parsed")
 {
     const auto page = parse_page(page_with(R"({"name":"c"})"), "items");
