--- a/tests/process/scripted_endpoint.cpp
+++ b/tests/process/scripted_endpoint.cpp
@@ -140,7 +140,10 @@
             answer.m_bytes = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
         else
         {
-            const auto call = field(head, "Fulmaryard-Attempt-Id");
+            auto call = field(head, "Fulmaryard-Attempt-Id");
+            // Side processes send the request id of the caller only.
+            if (call.empty())
+                call = field(head, "X-Request-Id");
             {
                 const std::lock_guard lock(m_mutex);
                 ++m_arrivals[call];
