HTTP client: read no answer of an earlier request on a kept connection

A worker that wrote an earlier refusal once more, together with the next answer, shifted all answers on that connection by one: a call that may be repeated got 503 although it had run, and each later caller got the body of the call before, also of an earlier success. Calls that may run once use a new connection each and were not affected. The client returned connections to its pool with unparsed bytes in their buffer and did not check for bytes that had arrived since.

A connection is now kept only if its response left no bytes and was no refusal (429 or 5xx), and is used again only if it is open and nothing has arrived meanwhile. If more than one response arrives on a kept connection, the request is sent again on a new one, as after a connection that was closed. A copy of a success that arrives alone after the next request was sent is not recognized, since answers of workers carry no id.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -52,10 +52,27 @@
 {
     explicit pooled_connection(const asio::any_io_executor& executor) : m_stream(executor) {}
 
+    /// Whether the peer has neither closed the connection nor sent bytes that answer no request.
+    bool is_open_and_idle()
+    {
+        auto& socket = m_stream.socket();
+        beast::error_code error;
+        socket.non_blocking(true, error);
+        char byte = 0;
+        socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer{max_buffered_bytes};
 };
 
+/// A faulty server may write a refusal again as the answer to the next request on its connection.
+bool is_refusal(unsigned status)
+{
+    return status == 429 || status >= 500;
+}
+
 /// `response_limits` from the start of one exchange on.
 struct exchange_deadlines
 {
@@ -80,8 +97,9 @@
 struct attempt_result
 {
     absl::StatusOr<http_response> m_response;
-    bool m_closed_before_response{false}; ///< Failed before any byte of a response, no timeout.
-    bool m_reusable{false};               ///< The connection may serve further requests.
+    /// Failed, no timeout, and nothing that was read is certain to answer this request.
+    bool m_unanswered{false};
+    bool m_reusable{false}; ///< The connection may serve further requests.
 };
 
 } // namespace
@@ -95,15 +113,18 @@
     std::mutex m_mutex;
     std::vector<std::shared_ptr<pooled_connection>> m_idle;
 
-    /// Returns the connection that was put back last, or nullptr if the pool is empty.
+    /// Returns the usable connection that was put back last, or nullptr if there is none.
     std::shared_ptr<pooled_connection> take_idle()
     {
         const std::lock_guard lock(m_mutex);
-        if (m_idle.empty())
-            return nullptr;
-        auto connection = std::move(m_idle.back());
-        m_idle.pop_back();
-        return connection;
+        while (!m_idle.empty())
+        {
+            auto connection = std::move(m_idle.back());
+            m_idle.pop_back();
+            if (connection->is_open_and_idle())
+                return connection;
+        }
+        return nullptr;
     }
 
     /// Returns a connection to the pool, or closes it if the pool is full.
@@ -157,10 +178,11 @@
         co_return beast::error_code{};
     }
 
-    /// Writes the request and reads the response. Runs on the strand of `connection`.
+    /// Writes the request and reads the response. `reused` is whether the connection has served an
+    /// earlier request. Runs on the strand of `connection`.
     asio::awaitable<attempt_result> exchange(
         pooled_connection& connection, const http::request<http::string_body>& message,
-        const exchange_deadlines& deadlines, http_transfer* transfer)
+        const exchange_deadlines& deadlines, http_transfer* transfer, bool reused)
     {
         connection.m_stream.expires_at(deadlines.m_first_byte);
         const auto [write_error, written] =
@@ -197,7 +219,17 @@
             }
         }
         connection.m_stream.expires_never();
-        const bool reusable = parser->get().keep_alive();
+        const bool surplus = connection.m_buffer.size() != 0;
+        if (surplus && reused)
+        {
+            co_return attempt_result{
+                make_failure(
+                    failure_kind::endpoint_failed, "more than one response to a request",
+                    dispatch_progress::sent),
+                true, false};
+        }
+        const bool reusable =
+            parser->get().keep_alive() && !surplus && !is_refusal(parser->get().result_int());
         auto response = parser->release();
         co_return attempt_result{
             http_response{
@@ -209,7 +241,7 @@
     asio::awaitable<attempt_result> exchange_on_strand(
         const std::shared_ptr<pooled_connection>& connection,
         const http::request<http::string_body>& message, const exchange_deadlines& deadlines,
-        http_transfer* transfer)
+        http_transfer* transfer, bool reused)
     {
         const auto executor = connection->m_stream.get_executor();
         if (transfer != nullptr)
@@ -229,7 +261,8 @@
                 co_return attempt_result{cancelled_failure(), false, false};
         }
         co_return co_await asio::co_spawn(
-            executor, exchange(*connection, message, deadlines, transfer), asio::use_awaitable);
+            executor, exchange(*connection, message, deadlines, transfer, reused),
+            asio::use_awaitable);
     }
 };
 
@@ -277,8 +310,8 @@
     {
         if (auto connection = self->take_idle())
         {
-            auto result =
-                co_await self->exchange_on_strand(connection, message, deadlines, transfer.get());
+            auto result = co_await self->exchange_on_strand(
+                connection, message, deadlines, transfer.get(), true);
             if (result.m_reusable)
                 self->put_idle(std::move(connection));
             // A connection can stop responding without being closed. The other pooled connections
@@ -286,7 +319,7 @@
             else if (!result.m_response.ok())
                 self->drop_idle();
             const bool cancelled = transfer != nullptr && transfer->cancelled();
-            if (!result.m_closed_before_response || cancelled)
+            if (!result.m_unanswered || cancelled)
                 co_return std::move(result.m_response);
         }
     }
@@ -294,7 +327,7 @@
     if (!connection.ok())
         co_return connection.status();
     auto result =
-        co_await self->exchange_on_strand(*connection, message, deadlines, transfer.get());
+        co_await self->exchange_on_strand(*connection, message, deadlines, transfer.get(), false);
     if (result.m_reusable)
         self->put_idle(std::move(*connection));
     co_return std::move(result.m_response);
--- a/tests/process/reported_faults_entry_test.cpp
+++ b/tests/process/reported_faults_entry_test.cpp
@@ -116,6 +116,11 @@
     return std::string(find_field(response.m_fields, "X-Fulmaryard-Outcome").value_or(""));
 }
 
+std::string success_of(const std::string& call)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", call.size(), call);
+}
+
 } // namespace
 
 TEST_SUITE_BEGIN("reported_faults_entry");
@@ -187,4 +192,89 @@
     }
 }
 
+TEST_CASE("a worker that writes an earlier refusal again on a kept connection")
+{
+    // Guards against the refusal of a call that the worker ran, and against the answer of one call
+    // that reaches the caller of another.
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<bool> refused{false};
+    std::atomic<int> repetitions{0};
+    std::atomic<int> runs{0};
+    bool with_next_answer = false;
+    std::string method;
+    SUBCASE("together with the next answer")
+    {
+        with_next_answer = true;
+        SUBCASE("to a call that may be repeated")
+        {
+            method = "GET";
+        }
+        SUBCASE("to a call that may run once")
+        {
+            method = "POST";
+        }
+    }
+    SUBCASE("directly after the refusal")
+    {
+        SUBCASE("before calls that may be repeated")
+        {
+            method = "GET";
+        }
+        SUBCASE("before calls that may run once")
+        {
+            method = "POST";
+        }
+    }
+    scripted_worker_system system(
+        [&](const std::string& call, int earlier) -> scripted_endpoint::reply
+        {
+            if (!refused.exchange(true))
+                return {with_next_answer ? refusal : refusal + refusal, false};
+            ++runs;
+            const bool repeats = with_next_answer && earlier > 0 && repetitions++ == 0;
+            return {(repeats ? refusal : "") + success_of(call), false};
+        },
+        1, "", "");
+    const auto first = system.send("GET", "refused");
+    REQUIRE(first.ok());
+    // Two refusals at once leave open which of them answers the call, so it may be sent again.
+    CHECK((first->m_status == 503 || (!with_next_answer && first->m_body == "refused")));
+    CHECK((first->m_status == 503) == (runs == 0));
+    for (const std::string id : {"next-1", "next-2", "next-3"})
+    {
+        CAPTURE(id);
+        const auto next = system.send(method, id);
+        REQUIRE(next.ok());
+        CHECK(system.worker().arrivals(id) >= 1);
+        CHECK(next->m_status == 200);
+        CHECK(next->m_body == id);
+        if (method == "POST")
+            CHECK(system.worker().arrivals(id) == 1);
+    }
+    if (with_next_answer && method == "GET")
+        CHECK(repetitions > 0);
+}
+
+TEST_CASE("a worker that writes an earlier answer again on a kept connection")
+{
+    // Guards against the answer of one call that reaches the caller of another.
+    std::string previous;
+    scripted_worker_system system(
+        [&](const std::string& call, int earlier) -> scripted_endpoint::reply
+        {
+            const auto repeated = earlier > 0 && call == "second" ? success_of(previous) : "";
+            previous = call;
+            return {repeated + success_of(call), false};
+        },
+        1, "", "");
+    for (const std::string id : {"first", "second", "third"})
+    {
+        CAPTURE(id);
+        const auto answer = system.send("GET", id);
+        REQUIRE(answer.ok());
+        CHECK(answer->m_status == 200);
+        CHECK(answer->m_body == id);
+    }
+}
+
 TEST_SUITE_END();
