Test answers of workers that end in the middle, through a side process

A worker that closed its connection in its answer's head or body was reported to lead to a 200 with an empty or short body. A body that ends with the connection has no framing that would show where it was cut, and is not tested.

--- a/tests/process/reported_faults_entry_test.cpp
+++ b/tests/process/reported_faults_entry_test.cpp
@@ -277,4 +277,59 @@
     }
 }
 
+TEST_CASE("a worker that closes its connection in the middle of an answer")
+{
+    // Guards against a success with an empty or short body that is framed as complete.
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    std::string bytes;
+    SUBCASE("in the status line")
+    {
+        bytes = "HTTP/1.1 200 O";
+    }
+    SUBCASE("after the status line")
+    {
+        bytes = "HTTP/1.1 200 OK\r\n";
+    }
+    SUBCASE("in a field of the head")
+    {
+        bytes = head + "Content-Le";
+    }
+    SUBCASE("after a field of the head")
+    {
+        bytes = head + "Content-Length: 4\r\n";
+    }
+    SUBCASE("before the body")
+    {
+        bytes = head + "Content-Length: 4\r\n\r\n";
+    }
+    SUBCASE("in the body")
+    {
+        bytes = head + "Content-Length: 4\r\n\r\ndo";
+    }
+    SUBCASE("in a chunk")
+    {
+        bytes = head + "Transfer-Encoding: chunked\r\n\r\n4\r\ndo";
+    }
+    SUBCASE("between chunks")
+    {
+        bytes = head + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n";
+    }
+    scripted_worker_system system(
+        [&](const std::string&, int) -> scripted_endpoint::reply {
+            return {bytes, true};
+        },
+        1, "", "");
+    for (const std::string method : {"POST", "GET"})
+    {
+        CAPTURE(method);
+        const auto answer = system.send(method, "call-" + method);
+        CHECK(system.worker().arrivals("call-" + method) >= 1);
+        REQUIRE(answer.ok());
+        CHECK(answer->m_status == 502);
+        CHECK(outcome_in(*answer) == "unknown");
+        if (method == "POST")
+            CHECK(system.worker().arrivals("call-POST") == 1);
+    }
+}
+
 TEST_SUITE_END();
