--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -222,8 +222,9 @@
 
 boost::asio::awaitable<bool> router_core::check_ended(endpoint_run run)
 {
-    const auto response = co_await call_endpoint(
-        m_channels, run.m_address, m_protocol.write_load_query(), end_check_timeout);
+    http_request query = m_protocol.write_load_query();
+    const auto response =
+        co_await call_endpoint(m_channels, run.m_address, std::move(query), end_check_timeout);
     co_return !response.ok() && kind_of(response.status()) == failure_kind::connection_refused;
 }
 
--- a/src/stream_quarantine.cpp
+++ b/src/stream_quarantine.cpp
@@ -43,7 +43,8 @@
     const auto first = m_path.front();
     if (parts.empty())
         co_return;
-    const bool ended = co_await m_core.check_ended({first.m_endpoint, started_ms, first.m_address});
+    const endpoint_run run{first.m_endpoint, started_ms, first.m_address};
+    const bool ended = co_await m_core.check_ended(run);
     if (ended)
         m_core.suspect(first.m_endpoint, "connection refused");
     const auto now = steady::now();
@@ -57,8 +58,8 @@
         .with("started_ms", started_ms)
         .with("shared_parts", fmt::format("{}", fmt::join(parts, ",")));
     m_core.m_metrics.counter("fulmaryard_router_endpoint_crashes_total").add();
-    const auto run = fmt::format("{}@{}", first.m_endpoint, started_ms);
-    m_core.note_quarantine(m_core.m_quarantine.on_crashed(parts, run, now), "own observation");
+    const auto run_name = fmt::format("{}@{}", first.m_endpoint, started_ms);
+    m_core.note_quarantine(m_core.m_quarantine.on_crashed(parts, run_name, now), "own observation");
 }
 
 void stream_session::on_quarantine()
