--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -45,10 +45,11 @@
     std::this_thread::sleep_for(5s);
     answers["order-late"] = send("POST", "/orders/1", "order-late");
     answers["stream-late"] = send("POST", "/chat/1", "stream-late");
-    for (auto& [id, future] : answers)
+    for (auto& entry : answers)
     {
+        const std::string& id = entry.first;
         CAPTURE(id);
-        const auto answer = future.get();
+        const auto answer = entry.second.get();
         CHECK(answer.ok());
         const bool arrived = plain.arrivals(id) + model.arrivals(id) > 0;
         // A stream is also taken late if it is expected to end in time.
--- a/tests/process/reported_faults_entry_test.cpp
+++ b/tests/process/reported_faults_entry_test.cpp
@@ -148,10 +148,11 @@
         std::this_thread::sleep_for(1500ms);
         answers["order-late"] = system.send_async("POST", "order-late");
         answers["look-late"] = system.send_async("GET", "look-late");
-        for (auto& [id, future] : answers)
+        for (auto& entry : answers)
         {
+            const std::string& id = entry.first;
             CAPTURE(id);
-            const auto answer = future.get();
+            const auto answer = entry.second.get();
             const bool arrived = system.worker().arrivals(id) > 0;
             CHECK(arrived != id.ends_with("late"));
             CHECK(answer.ok());
@@ -179,10 +180,11 @@
         std::this_thread::sleep_for(500ms);
         answers["order-late"] = system.send_async("POST", "order-late");
         answers["look-late"] = system.send_async("GET", "look-late");
-        for (auto& [id, future] : answers)
+        for (auto& entry : answers)
         {
+            const std::string& id = entry.first;
             CAPTURE(id);
-            const auto answer = future.get();
+            const auto answer = entry.second.get();
             const bool arrived = system.worker().arrivals(id) > 0;
             CHECK(arrived != id.ends_with("late"));
             REQUIRE(answer.ok());
--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -18,25 +18,25 @@
 struct changed_store
 {
     changed_store(router_system& tested, std::string router_name)
-        : system(tested),
-          router(std::move(router_name))
+        : m_system(tested),
+          m_router(std::move(router_name))
     {
-        system.control({{"save_copy", true}});
+        m_system.control({{"save_copy", true}});
     }
 
     unsigned status(const std::string& key)
     {
         const auto request = router_system::make_request(
-            "GET", "/look/1", fmt::format("{}-{}", key, ++requests), key);
-        const auto response = test_client(system.address(router)).send(request);
+            "GET", "/look/1", fmt::format("{}-{}", key, ++m_requests), key);
+        const auto response = test_client(m_system.address(m_router)).send(request);
         return response.ok() ? response->m_status : 0;
     }
 
     /// Writes a configuration with all keys added so far.
     void add_key(const std::string& key)
     {
-        keys.emplace_back(key);
-        system.control({{"keys", keys}});
+        m_keys.emplace_back(key);
+        m_system.control({{"keys", m_keys}});
     }
 
     /// Whether a request with the key is served in time.
@@ -45,10 +45,10 @@
         return wait_until([&] { return status(key) == 200; }, apply_limit);
     }
 
-    router_system& system;
-    std::string router;
-    json::array keys{"secret"};
-    int requests{0};
+    router_system& m_system;
+    std::string m_router;
+    json::array m_keys{"secret"};
+    int m_requests{0};
 };
 
 } // namespace
