--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -615,8 +615,7 @@
             timer.expires_after(tick_interval);
             co_await timer.async_wait(use_tuple);
         }
-        m_caller_server.stop_accepting();
-        // The callers that are left learn what became of their requests.
+        // The callers that are left learn what became of their requests; new ones are refused.
         for (auto* session : m_core.m_open_sessions)
             session->end();
         const auto exit = m_exit_deadline + final_answer_time;
@@ -625,6 +624,7 @@
             timer.expires_after(tick_interval);
             co_await timer.async_wait(use_tuple);
         }
+        m_caller_server.stop_accepting();
         m_lifecycle.finish_drain();
         m_stopped = true;
         m_io.stop();
