Streams: relay event streams of services without a pipeline

Cause: router_process::serve chose the session by the service. Requests to a service without an engine went through plain_session, for which the end of the connection is the end of the body, and which sends the first byte when it has read the last.

Change: the kind of the route decides. A stream_session without a pipeline has a path of one endpoint without layers, chosen as for calls. It passes events on as they come, notices a broken event and resumes the stream elsewhere if the route permits. Attempts that end inside an event are followed by one that begins at another endpoint, as after a broken connection.

--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -42,9 +42,6 @@
 // divided by this value has passed. The rest of the objective is for the call itself.
 constexpr int waiting_objective_divisor = 2;
 
-// Retry-After of a 503 response: expected time until an endpoint has capacity again.
-constexpr std::chrono::milliseconds refusal_retry_after{250};
-
 } // namespace
 
 plain_session::plain_session(router_core& core, http_exchange& exchange, accepted_call accepted)
@@ -117,19 +114,12 @@
         m_accepted.m_end - response_margin);
     if (!wanted || *wanted > latest || m_client_disconnected || m_ended)
         co_return false;
-    m_wait_timer.expires_at(*wanted + random_spread(latest - *wanted));
+    m_wait_timer.expires_at(*wanted + m_core.random_spread(latest - *wanted));
     co_await m_wait_timer.async_wait(use_tuple);
     m_client_disconnected = m_client_disconnected || m_exchange.client_disconnected();
     co_return !m_client_disconnected && !m_ended;
 }
 
-std::chrono::steady_clock::duration
-plain_session::random_spread(std::chrono::steady_clock::duration most)
-{
-    const auto limit = static_cast<std::uint64_t>(std::max<std::int64_t>(most.count(), 0)) + 1;
-    return steady::duration(static_cast<std::int64_t>(m_core.random_value() % limit));
-}
-
 bool plain_session::may_retry(attempt_outcome end)
 {
     if (m_ended || m_attempt_count >= max_attempts ||
@@ -258,17 +248,6 @@
     co_return attempt_outcome::unknown;
 }
 
-std::chrono::milliseconds plain_session::retry_after()
-{
-    const auto wanted = m_core.work_wanted_at(m_accepted.m_service);
-    if (!wanted)
-        return refusal_retry_after;
-    // The callers that were refused meanwhile come back spread over half as long again.
-    const auto wait = std::max(*wanted - steady::now(), steady::duration::zero());
-    return refusal_retry_after +
-           std::chrono::duration_cast<std::chrono::milliseconds>(wait + random_spread(wait / 2));
-}
-
 asio::awaitable<void> plain_session::finish(attempt_outcome end)
 {
     constexpr std::array outcome_names{"answered", "not_run", "unknown", "failed"};
@@ -296,7 +275,8 @@
     if (m_last_response && end != attempt_outcome::not_run)
         response = *std::move(m_last_response);
     else if (end == attempt_outcome::not_run)
-        response = m_core.m_protocol.refusal(m_accepted.m_call, 503, retry_after());
+        response = m_core.m_protocol.refusal(
+            m_accepted.m_call, 503, m_core.retry_after(m_accepted.m_service));
     else
     {
         const bool deadline_passed = now >= m_attempt_deadline;
--- a/src/plain_session.hpp
+++ b/src/plain_session.hpp
@@ -63,13 +63,6 @@
     /// is soon enough. Returns whether it has waited.
     boost::asio::awaitable<bool> wait_until_work_is_wanted();
 
-    /// When a refused call should be tried again.
-    std::chrono::milliseconds retry_after();
-
-    /// A random time from 0 to `most`, so that calls that wait for the same moment do not go on
-    /// together.
-    std::chrono::steady_clock::duration random_spread(std::chrono::steady_clock::duration most);
-
     /// Records the outcome in metrics and log, and responds to the client.
     boost::asio::awaitable<void> finish(attempt_outcome end);
 
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -43,6 +43,10 @@
 // connection within a round trip.
 constexpr std::chrono::milliseconds end_check_timeout{150};
 
+// Retry-After of a refused call to a service without pipelines: expected time until an endpoint has
+// capacity again.
+constexpr std::chrono::milliseconds refusal_retry_after{250};
+
 // Assumed number of routers that share a budget while the actual number is unknown.
 constexpr std::uint64_t default_router_count = 20;
 
@@ -309,6 +313,25 @@
     return granted;
 }
 
+std::chrono::steady_clock::duration
+router_core::random_spread(std::chrono::steady_clock::duration most)
+{
+    const auto limit = static_cast<std::uint64_t>(std::max<std::int64_t>(most.count(), 0)) + 1;
+    return std::chrono::steady_clock::duration(static_cast<std::int64_t>(random_value() % limit));
+}
+
+std::chrono::milliseconds router_core::retry_after(const std::string& service)
+{
+    using duration = std::chrono::steady_clock::duration;
+    const auto wanted = work_wanted_at(service);
+    if (!wanted)
+        return refusal_retry_after;
+    // The callers that were refused meanwhile come back spread over half as long again.
+    const auto wait = std::max(*wanted - std::chrono::steady_clock::now(), duration::zero());
+    return refusal_retry_after +
+           std::chrono::duration_cast<std::chrono::milliseconds>(wait + random_spread(wait / 2));
+}
+
 std::uint64_t router_core::router_count() const
 {
     return m_router_count == 0 ? default_router_count : m_router_count;
@@ -500,6 +523,7 @@
 std::string
 router_core::choose_endpoint(const std::string& service, const std::set<std::string>& avoided) const
 {
+    const auto now = std::chrono::steady_clock::now();
     std::string best;
     std::pair<std::int64_t, bool> lowest{};
     for (const auto& [id, record] : m_membership.endpoints())
@@ -509,7 +533,8 @@
         const auto calls = m_plain_calls.find(id);
         // Among equally loaded endpoints, prefer one in the router's own failure domain.
         const std::pair<std::int64_t, bool> rank{
-            calls == m_plain_calls.end() ? 0 : calls->second,
+            (calls == m_plain_calls.end() ? 0 : calls->second) +
+                m_reservations.use(id, now).m_crossing_requests,
             record.m_failure_domain != m_settings.m_failure_domain};
         if (best.empty() || rank < lowest)
         {
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -76,8 +76,8 @@
     double path_decode_ms(
         const routed_service& service, const std::vector<path_hop>& path, std::size_t begin) const;
 
-    /// Returns the id of the endpoint of a service without pipelines that has the fewest calls in
-    /// flight and is not in `avoided`; empty when there is none.
+    /// Returns the id of the endpoint of a service without pipelines that has the fewest calls and
+    /// streams in flight and is not in `avoided`; empty when there is none.
     std::string
     choose_endpoint(const std::string& service, const std::set<std::string>& avoided) const;
 
@@ -147,6 +147,13 @@
 
     std::uint64_t random_value() { return m_random(); }
 
+    /// A random time from 0 to `most`, so that calls that wait for the same moment do not go on
+    /// together.
+    std::chrono::steady_clock::duration random_spread(std::chrono::steady_clock::duration most);
+
+    /// When a refused call to a service without pipelines should be tried again.
+    std::chrono::milliseconds retry_after(const std::string& service);
+
     /// Expected context length of a call at its end: prompt and answer, in tokens.
     static double expected_tokens(const routed_call& call, const pipeline_engine& engine);
 
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -437,7 +437,9 @@
         if (m_refuses_long_requests)
             accepted.m_shutdown_deadline = m_exit_deadline;
         const auto* service = table->find_service(accepted.m_service);
-        if (service != nullptr && service->m_engine)
+        const bool has_pipeline = service != nullptr && service->m_engine;
+        // A streaming route may send some of its requests to a service without pipelines.
+        if (has_pipeline || accepted.m_route.m_kind == call_kind::streaming)
         {
             stream_session session(m_core, exchange, std::move(accepted));
             co_await session.run();
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -150,7 +150,7 @@
         const auto silent = now - session.last_progress();
         if (silent > max_silence && !session.m_repath_pending)
             session.abandon_attempt("no event");
-        else if (silent > check_delay(session))
+        else if (session.has_pipeline() && silent > check_delay(session))
         {
             for (const auto& hop : session.path())
                 query_if_due(hop.m_endpoint, now);
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -151,6 +151,12 @@
     return m_table->find_service(m_accepted.m_service);
 }
 
+const pipeline_engine* stream_session::engine() const
+{
+    const auto* routed = service();
+    return routed != nullptr && routed->m_engine ? &*routed->m_engine : nullptr;
+}
+
 void stream_session::on_capacity()
 {
     m_queue_timer.cancel();
@@ -269,13 +275,16 @@
     record_prefill_done();
     m_core.m_reservations.release(m_path, m_tokens);
     m_path.clear();
+    if (!has_pipeline())
+        return;
     m_core.m_wait_queue.on_released(m_tokens, steady::now());
     m_core.m_on_capacity();
 }
 
 asio::awaitable<void> stream_session::run()
 {
-    m_tokens = router_core::expected_tokens(m_accepted.m_call, *service()->m_engine);
+    if (has_pipeline())
+        m_tokens = router_core::expected_tokens(m_accepted.m_call, *engine());
     m_is_retry = m_core.m_streams->take_expected_retry(m_accepted);
     m_core.count_request(m_accepted.m_service);
     m_exchange.watch_for_disconnect(
@@ -345,17 +354,51 @@
     return m_abandoned || m_core.try_retry(m_accepted.m_service);
 }
 
+std::chrono::milliseconds stream_session::max_queueing_time() const
+{
+    if (m_is_retry || m_responded || m_attempt_count > 0)
+        return retry_queueing_time;
+    return m_accepted.m_route.m_latency_objective / queueing_objective_divisor;
+}
+
+asio::awaitable<bool> stream_session::reserve_endpoint()
+{
+    // The length of the stream is not known, so it may last until its deadline.
+    if (m_accepted.m_end > m_accepted.m_shutdown_deadline)
+        co_return false;
+    auto avoided = m_excluded_first_endpoints;
+    avoided.insert(m_refused_by.begin(), m_refused_by.end());
+    const auto latest =
+        std::min(steady::now() + max_queueing_time(), m_accepted.m_end - response_margin);
+    while (!m_client_disconnected && !m_quarantined && !m_ended)
+    {
+        auto endpoint = m_core.choose_endpoint(m_accepted.m_service, avoided);
+        if (endpoint.empty())
+            endpoint = m_core.choose_endpoint(m_accepted.m_service, {});
+        if (!endpoint.empty())
+        {
+            const path_hop hop{endpoint, m_core.find_endpoint(endpoint)->m_address, {}};
+            set_path({hop}, {});
+            co_return true;
+        }
+        const auto wanted = m_core.work_wanted_at(m_accepted.m_service);
+        if (!wanted || *wanted > latest)
+            co_return false;
+        m_queue_timer.expires_at(*wanted + m_core.random_spread(latest - *wanted));
+        co_await m_queue_timer.async_wait(use_tuple);
+    }
+    co_return false;
+}
+
 asio::awaitable<bool> stream_session::reserve_path()
 {
+    if (!has_pipeline())
+        co_return co_await reserve_endpoint();
     const auto start = steady::now();
     const bool is_first_attempt = !m_responded && m_attempt_count == 0;
-    std::chrono::milliseconds max_queueing_time =
-        m_accepted.m_route.m_latency_objective / queueing_objective_divisor;
-    if (m_is_retry || !is_first_attempt)
-        max_queueing_time = retry_queueing_time;
     wait_queue::waiting_request request{
         m_id, m_is_retry || !is_first_attempt, m_accepted.m_priority, m_tokens,
-        std::min(start + max_queueing_time, m_accepted.m_end - response_margin)};
+        std::min(start + max_queueing_time(), m_accepted.m_end - response_margin)};
     if (m_core.m_wait_queue.empty() || !is_first_attempt)
     {
         auto path = m_core.find_path(
@@ -449,7 +492,8 @@
     call_target target;
     target.m_endpoint = first;
     target.m_address = m_path.front().m_address;
-    target.m_path = m_path;
+    if (has_pipeline())
+        target.m_path = m_path;
     target.m_account = m_accepted.m_account;
     target.m_time_left = m_accepted.time_left(m_sent);
     target.m_resume_after = m_last_event_id;
@@ -460,7 +504,7 @@
         .with("attempt", m_attempt_count)
         .with("path", describe(m_path))
         .with("tokens", m_tokens)
-        .with("token_ms", m_core.path_decode_ms(*service(), m_path, 0))
+        .with("token_ms", has_pipeline() ? m_core.path_decode_ms(*service(), m_path, 0) : 0)
         .with("after_event", m_last_event_id.value_or(0))
         .with("priority", m_accepted.m_priority)
         .with("version", m_table->version())
@@ -513,10 +557,8 @@
     }
     if (!response.ok() || !head.m_matches_call)
     {
-        m_excluded_first_endpoints.insert(first);
-        log_attempt_broken(
+        co_return break_off_attempt(
             response.ok() ? "responses to other requests" : message_of(response.status()));
-        co_return attempt_outcome::broken;
     }
     if (head.m_not_run)
     {
@@ -617,24 +659,13 @@
         if (m_client_disconnected)
             co_return attempt_outcome::broken;
         if (!more.ok())
-        {
-            const auto first = m_path.front().m_endpoint;
-            m_excluded_first_endpoints.insert(first);
-            log_attempt_broken(message_of(more.status()));
-            co_return attempt_outcome::broken;
-        }
+            co_return break_off_attempt(message_of(more.status()));
     }
     // A response without a length may have been truncated within an event.
     if (!text.empty())
-    {
-        log_attempt_broken("the answer ends within an event");
-        co_return attempt_outcome::broken;
-    }
+        co_return break_off_attempt("the answer ends within an event");
     if (m_attempt_events == 0 && m_channel->ends_with_connection())
-    {
-        log_attempt_broken("the answer ends before an event");
-        co_return attempt_outcome::broken;
-    }
+        co_return break_off_attempt("the answer ends before an event");
     m_core.m_channels.put(std::move(m_channel), steady::now());
     if (!m_responded)
     {
@@ -663,8 +694,9 @@
     }
 }
 
-void stream_session::log_attempt_broken(std::string_view reason)
+stream_session::attempt_outcome stream_session::break_off_attempt(std::string_view reason)
 {
+    m_excluded_first_endpoints.insert(m_path.front().m_endpoint);
     log_event(log_level::info, "attempt_broken")
         .with("request", m_accepted.m_call.m_id)
         .with("reason", reason)
@@ -673,15 +705,22 @@
         .with("answer_began", m_answer_began)
         .with("shared_parts", fmt::format("{}", fmt::join(m_accepted.m_call.m_shared_parts, ",")))
         .with("caller_left", m_client_disconnected);
+    return attempt_outcome::broken;
 }
 
 asio::awaitable<void> stream_session::refuse(std::string_view reason)
 {
     const auto now = steady::now();
-    auto retry_after = m_core.m_wait_queue.assign_retry_after(m_tokens, now);
-    // The endpoints' own time comes first; the queue spreads the callers behind it.
-    if (const auto wanted = m_core.work_wanted_at(m_accepted.m_service))
-        retry_after += std::chrono::duration_cast<std::chrono::milliseconds>(*wanted - now);
+    std::chrono::milliseconds retry_after{0};
+    if (has_pipeline())
+    {
+        retry_after = m_core.m_wait_queue.assign_retry_after(m_tokens, now);
+        // The endpoints' own time comes first; the queue spreads the callers behind it.
+        if (const auto wanted = m_core.work_wanted_at(m_accepted.m_service))
+            retry_after += std::chrono::duration_cast<std::chrono::milliseconds>(*wanted - now);
+    }
+    else
+        retry_after = m_core.retry_after(m_accepted.m_service);
     m_core.m_streams->add_expected_retry(m_accepted, now + retry_after);
     m_core.m_metrics.counter("fulmaryard_router_refusals_total").add();
     log_event(log_level::info, "request_refused")
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -23,7 +23,8 @@
 {
 
 /// Relays one streaming request over a path of endpoints, and resumes it over another path if an
-/// endpoint is lost. The caller receives one response without missing or repeated events.
+/// endpoint is lost. The caller receives one response without missing or repeated events. The path
+/// of a service without pipelines is a single endpoint, without layers.
 class stream_session : public open_session
 {
 public:
@@ -41,7 +42,9 @@
     std::uint64_t id() const { return m_id; }
     const accepted_call& accepted() const { return m_accepted; }
     const std::vector<path_hop>& path() const { return m_path; }
-    /// Token capacity that the request reserves on each endpoint of its path.
+    /// Whether endpoints run the request as a pipeline.
+    bool has_pipeline() const { return engine() != nullptr; }
+    /// Token capacity that the request reserves on each endpoint of its path; 0 without a pipeline.
     double tokens() const { return m_tokens; }
     /// Estimated number of tokens in the prompt and in the events relayed so far.
     double context_tokens() const;
@@ -90,6 +93,9 @@
 
     /// Waits until a path with enough capacity is reserved; returns whether one was found.
     boost::asio::awaitable<bool> reserve_path();
+    /// The same for a service without pipelines. Waits only for endpoints that want no work for
+    /// some time.
+    boost::asio::awaitable<bool> reserve_endpoint();
     boost::asio::awaitable<attempt_outcome> attempt();
     boost::asio::awaitable<std::optional<attempt_outcome>> open_channel(bool& reused);
     boost::asio::awaitable<attempt_outcome> relay_events(answer_head head);
@@ -120,11 +126,15 @@
     /// Updates the statistics of the time between events.
     void record_event_interval(std::chrono::steady_clock::duration interval);
     const routed_service* service() const;
+    const pipeline_engine* engine() const; ///< nullptr if the service runs no pipelines.
+    /// How long the request may wait for capacity from the start of an attempt on.
+    std::chrono::milliseconds max_queueing_time() const;
     /// Whether the route permits that the request is sent to another endpoint.
     bool within_route_limit() const;
     /// Finds out which of the endpoints that count toward the route's limit have ended.
     boost::asio::awaitable<void> check_ended_runs();
-    void log_attempt_broken(std::string_view reason);
+    /// Logs why the current attempt broke off, and lets later ones begin at another endpoint.
+    attempt_outcome break_off_attempt(std::string_view reason);
     void log_end(std::string_view outcome, std::string_view reason);
 
     router_core& m_core;
--- a/tests/process/scripted_endpoint.cpp
+++ b/tests/process/scripted_endpoint.cpp
@@ -69,6 +69,13 @@
     return found == m_arrivals.end() ? 0 : found->second;
 }
 
+std::string scripted_endpoint::last_head(const std::string& call) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_last_heads.find(call);
+    return found == m_last_heads.end() ? "" : found->second;
+}
+
 void scripted_endpoint::set_layers(int begin, int end)
 {
     const std::lock_guard lock(m_mutex);
@@ -147,10 +154,16 @@
             {
                 const std::lock_guard lock(m_mutex);
                 ++m_arrivals[call];
+                m_last_heads[call] = head;
             }
             answer = m_answer(call, calls++);
         }
         asio::write(socket, asio::buffer(answer.m_bytes), error);
+        if (!answer.m_rest.empty())
+        {
+            std::this_thread::sleep_for(answer.m_pause);
+            asio::write(socket, asio::buffer(answer.m_rest), error);
+        }
         if (answer.m_close)
             socket.shutdown(tcp::socket::shutdown_both, error);
         if (error || answer.m_close)
--- a/tests/process/scripted_endpoint.hpp
+++ b/tests/process/scripted_endpoint.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,7 +25,9 @@
     struct reply
     {
         std::string m_bytes;
-        bool m_close{false}; ///< Close the connection afterwards.
+        bool m_close{false};                  ///< Close the connection afterwards.
+        std::chrono::milliseconds m_pause{0}; ///< Between `m_bytes` and `m_rest`.
+        std::string m_rest{};                 ///< Sent before the connection is closed.
     };
 
     /// How load queries are answered.
@@ -49,6 +52,9 @@
     /// How often a call arrived.
     int arrivals(const std::string& call) const;
 
+    /// Head of the request with which a call arrived last; empty if it has not arrived.
+    std::string last_head(const std::string& call) const;
+
     /// Layers that the load report names.
     void set_layers(int begin, int end);
 
@@ -67,6 +73,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     mutable std::mutex m_mutex;
     std::map<std::string, int> m_arrivals;
+    std::map<std::string, std::string> m_last_heads; ///< By call.
     std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> m_sockets;
     std::vector<std::thread> m_threads;
     std::string m_layers;
--- a/tests/standins/pipeline_main.cpp
+++ b/tests/standins/pipeline_main.cpp
@@ -721,9 +721,12 @@
             {"service", service},     {"attempts", 2},       {"public", false},
             {"resumable", resumable}, {"priority", 1}};
     };
-    json::array routes{
-        route("/chat/", "streaming", "model"), route("/once/", "streaming", "model", false),
-        route("/orders/", "non_idempotent", "orders"), route("/look/", "idempotent", "orders")};
+    json::array routes{route("/chat/", "streaming", "model"),
+                       route("/once/", "streaming", "model", false),
+                       route("/orders/", "non_idempotent", "orders"),
+                       route("/look/", "idempotent", "orders"),
+                       route("/feed/", "streaming", "orders"),
+                       route("/feed-once/", "streaming", "orders", false)};
     for (std::uint64_t i = 0; i < m_idle_routes; ++i)
         routes.push_back(route(fmt::format("/idle-{}/", i).c_str(), "idempotent", "orders"));
     return {
