Connections to endpoints: end an answer whose bytes never stop at its deadline

What callers saw: with an endpoint that sends chunks without end, calls got no answer although the time of their route had passed, and the router's thread was busy.

Cause: the deadline of a read is the timer of its socket, which only ends a read that waits. With bytes always there, no one looked at the clock, in endpoint_channel and in http_client.

A closed channel reads nothing from its buffer.

--- a/include/fulmaryard/endpoint_channel.hpp
+++ b/include/fulmaryard/endpoint_channel.hpp
@@ -45,8 +45,9 @@
 
     /// Appends the next part of the response body to `body`. Returns false when the body is
     /// complete. Fails if the connection is reset or closed before the length given in the header
-    /// is reached. Fails with `endpoint_failed` and closes the connection if `body` would exceed
-    /// `max_bytes`; `body` is then incomplete.
+    /// is reached. After the deadline, reads only a limited amount that has arrived already. Fails
+    /// with `endpoint_failed` and closes the connection if `body` would exceed `max_bytes`; `body`
+    /// is then incomplete.
     boost::asio::awaitable<absl::StatusOr<bool>>
     read_body(std::string& body, time_point deadline, std::size_t max_bytes = max_body_bytes);
 
--- a/src/endpoint_channel.cpp
+++ b/src/endpoint_channel.cpp
@@ -1,4 +1,5 @@
 #include "http_conversion_inl.hpp"
+#include "late_reads.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/endpoint_channel.hpp>
@@ -47,6 +48,19 @@
 // expires, so that a request does not meet a connection that is being closed.
 constexpr std::chrono::milliseconds keep_alive_margin{700};
 
+absl::Status closed_failure()
+{
+    return make_failure(
+        failure_kind::endpoint_lost, "the connection is closed", dispatch_progress::sent);
+}
+
+absl::Status late_failure()
+{
+    return make_failure(
+        failure_kind::deadline_exceeded, "the response has not ended in time",
+        dispatch_progress::sent);
+}
+
 absl::Status io_failure(const beast::error_code& error, dispatch_progress progress)
 {
     auto kind = failure_kind::endpoint_lost;
@@ -82,6 +96,7 @@
     std::string m_address;
     std::chrono::milliseconds m_keep_alive_timeout{default_keep_alive_timeout};
     time_point m_reusable_until;
+    late_reads m_late_reads; ///< Of the current response.
     bool m_open{false};
     bool m_response_complete{false}; ///< The last response was read completely.
     bool m_keep_alive{false};        ///< The last response allows the connection to be reused.
@@ -132,6 +147,7 @@
 asio::awaitable<absl::StatusOr<http_response>> endpoint_channel::read_head(time_point deadline)
 {
     m_state->m_response_complete = false;
+    m_state->m_late_reads = {};
     m_state->m_stream.expires_at(deadline);
     for (int provisional = 0;; ++provisional)
     {
@@ -170,13 +186,30 @@
         m_state->m_response_complete = true;
         co_return false;
     }
+    if (!m_state->m_open)
+        co_return closed_failure();
     std::array<char, read_buffer_bytes> chunk;
     parser.get().body().data = chunk.data();
     parser.get().body().size = chunk.size();
     m_state->m_stream.expires_at(deadline);
     auto [error, size] =
         co_await http::async_read_some(m_state->m_stream, m_state->m_buffer, parser, use_tuple);
+    // The read ends with the first chunk; the others that have arrived need no wait.
+    auto& buffer = m_state->m_buffer;
+    while (!error && buffer.size() > 0 && !parser.is_done() && parser.get().body().size > 0)
+    {
+        const auto used = parser.put(buffer.data(), error);
+        buffer.consume(used);
+        size += used;
+    }
+    if (error == http::error::need_more || error == http::error::need_buffer)
+        error = {};
     const auto received = chunk.size() - parser.get().body().size;
+    if (!m_state->m_late_reads.on_read(size, std::chrono::steady_clock::now(), deadline))
+    {
+        close();
+        co_return late_failure();
+    }
     if (body.size() + received > max_bytes)
     {
         close();
@@ -185,8 +218,6 @@
             fmt::format("the response body exceeds {} bytes", max_bytes), dispatch_progress::sent);
     }
     body.append(chunk.data(), received);
-    if (error == http::error::need_buffer)
-        error = {};
     if (error)
         co_return io_failure(error, dispatch_progress::sent);
     m_state->m_response_complete = parser.is_done();
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,4 +1,5 @@
 #include "http_conversion_inl.hpp"
+#include "late_reads.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/failure.hpp>
@@ -163,6 +164,7 @@
         const exchange_deadlines& deadlines, http_transfer* transfer)
     {
         parser.eager(true);
+        late_reads late;
         while (!parser.is_done())
         {
             const auto [error, size] = co_await http::async_read_some(
@@ -172,6 +174,8 @@
                 transfer->on_received(size, now);
             if (error)
                 co_return error;
+            if (!late.on_read(size, now, deadlines.m_end))
+                co_return beast::error_code(beast::error::timeout);
             if (size > 0)
                 connection.m_stream.expires_at(deadlines.next_read(now));
         }
--- a/tests/process/scripted_endpoint.cpp
+++ b/tests/process/scripted_endpoint.cpp
@@ -16,6 +16,8 @@
 namespace
 {
 
+constexpr std::size_t repeated_block_bytes = 64 * 1024;
+
 std::string frame(const std::string& body)
 {
     return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
@@ -164,6 +166,14 @@
             std::this_thread::sleep_for(answer.m_pause);
             asio::write(socket, asio::buffer(answer.m_rest), error);
         }
+        if (!answer.m_repeated.empty())
+        {
+            std::string block;
+            while (block.size() < repeated_block_bytes)
+                block += answer.m_repeated;
+            while (!error)
+                asio::write(socket, asio::buffer(block), error);
+        }
         if (answer.m_close)
             socket.shutdown(tcp::socket::shutdown_both, error);
         if (error || answer.m_close)
--- a/tests/process/scripted_endpoint.hpp
+++ b/tests/process/scripted_endpoint.hpp
@@ -28,6 +28,7 @@
         bool m_close{false};                  ///< Close the connection afterwards.
         std::chrono::milliseconds m_pause{0}; ///< Between `m_bytes` and `m_rest`.
         std::string m_rest{};                 ///< Sent before the connection is closed.
+        std::string m_repeated{};             ///< Then sent again and again until the peer closes.
     };
 
     /// How load queries are answered.
--- a/tests/unit/endless_answer_test.cpp
+++ b/tests/unit/endless_answer_test.cpp
@@ -79,10 +79,11 @@
 };
 
 /// Deadline of each read; only a read that is not given up earlier reaches it.
-constexpr std::chrono::seconds deadline{60};
+constexpr std::chrono::seconds default_deadline{60};
 
 struct reading
 {
+    std::chrono::milliseconds m_deadline{default_deadline};
     absl::Status m_status;
     std::size_t m_body_bytes{0};
 };
@@ -90,7 +91,7 @@
 /// Reads one response over a channel, as a session does for an answer that it buffers.
 asio::awaitable<void> read_answer(asio::io_context& io, std::string address, reading& result)
 {
-    const auto end = std::chrono::steady_clock::now() + deadline;
+    const auto end = std::chrono::steady_clock::now() + result.m_deadline;
     endpoint_channel channel(io.get_executor());
     const http_request request{"GET", "/", {}, {}};
     auto status = co_await channel.connect(address, end);
@@ -116,7 +117,7 @@
 {
     http_client client(io.get_executor(), address, 0);
     http_request request{"GET", "/", {}, {}};
-    const auto response = co_await client.send(std::move(request), deadline);
+    const auto response = co_await client.send(std::move(request), result.m_deadline);
     result.m_status = response.status();
 }
 
@@ -125,7 +126,8 @@
 {
     channel_pool channels(io.get_executor());
     http_request request{"GET", "/", {}, {}};
-    const auto response = co_await call_endpoint(channels, address, std::move(request), deadline);
+    const auto response =
+        co_await call_endpoint(channels, address, std::move(request), result.m_deadline);
     result.m_status = response.status();
 }
 
@@ -199,4 +201,26 @@
     }
 }
 
+TEST_CASE("an answer without end ends at its deadline")
+{
+    // Guards against an answer that is read past its deadline because its bytes never stop. Chunks
+    // of one byte take long to reach the limit of a body.
+    for (const auto task : {&read_answer, &read_with_client, &read_report})
+    {
+        asio::io_context io;
+        endless_server server(
+            io, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n");
+        reading result;
+        result.m_deadline = std::chrono::milliseconds(50);
+        bool done = false;
+        asio::co_spawn(
+            io, task(io, server.address(), result),
+            [&done](const std::exception_ptr&) { done = true; });
+        while (!done || !server.m_closed)
+            io.run_one();
+        REQUIRE_FALSE(result.m_status.ok());
+        CHECK(kind_of(result.m_status) == failure_kind::deadline_exceeded);
+    }
+}
+
 TEST_SUITE_END();
