Calls: log why an attempt ended without an answer

The log of a call had call_sent and call_ended with outcome=unknown, which does not tell a reset connection, a passed deadline and an answer that is too large apart. call_broken_off names the reason.

--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -211,7 +211,7 @@
     if (!sent.ok())
     {
         connection_stale = reused;
-        co_return attempt_outcome::unknown;
+        co_return break_off_attempt(message_of(sent));
     }
     for (int mismatched = 0; mismatched <= max_mismatched_responses; ++mismatched)
     {
@@ -219,14 +219,14 @@
         if (!response.ok())
         {
             connection_stale = reused && kind_of(response.status()) == failure_kind::endpoint_lost;
-            co_return attempt_outcome::unknown;
+            co_return break_off_attempt(message_of(response.status()));
         }
         m_core.note_answer(m_endpoint, started_ms, response->m_status, response->m_fields);
         absl::StatusOr<bool> body_incomplete = true;
         while (body_incomplete.ok() && *body_incomplete)
             body_incomplete = co_await m_channel->read_body(response->m_body, m_attempt_deadline);
         if (!body_incomplete.ok())
-            co_return attempt_outcome::unknown;
+            co_return break_off_attempt(message_of(body_incomplete.status()));
         auto head = m_core.m_protocol.read_answer(
             m_accepted.m_call, response->m_status, response->m_fields);
         // A late response to another call can arrive on a pooled connection; skips it.
@@ -240,12 +240,23 @@
         }
         const bool success = head.m_status < 300;
         if (success && !head.m_signed)
-            co_return attempt_outcome::unknown;
+            co_return break_off_attempt("a success without a signature");
         m_last_response =
             http_response{head.m_status, std::move(head.m_fields), std::move(response->m_body)};
         co_return head.m_status < 500 ? attempt_outcome::answered : attempt_outcome::failed;
     }
-    co_return attempt_outcome::unknown;
+    co_return break_off_attempt("responses to other requests");
+}
+
+plain_session::attempt_outcome plain_session::break_off_attempt(std::string_view reason) const
+{
+    log_event(log_level::info, "call_broken_off")
+        .with("request", m_accepted.m_call.m_id)
+        .with("attempt", m_attempt_count)
+        .with("endpoint", m_endpoint)
+        .with("reason", reason)
+        .with("caller_left", m_client_disconnected);
+    return attempt_outcome::unknown;
 }
 
 asio::awaitable<void> plain_session::finish(attempt_outcome end)
--- a/src/plain_session.hpp
+++ b/src/plain_session.hpp
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace fulmaryard
 {
@@ -55,6 +56,9 @@
     /// to be closed.
     boost::asio::awaitable<attempt_outcome> send_and_receive(bool reused, bool& connection_stale);
 
+    /// Logs why an attempt ended without an answer, which leaves open whether the call ran.
+    attempt_outcome break_off_attempt(std::string_view reason) const;
+
     /// Whether another attempt is allowed after one that ended with `end`. Takes a retry from the
     /// budget of the service unless the call has not been sent yet.
     bool may_retry(attempt_outcome end);
