Routers: share the memory for answers of endpoints

What callers saw: an endpoint that sends bodies without end, to calls and as errors, takes a router over the memory of its instance; it is killed, and the requests of all its callers end without an answer.

Cause: each body has a limit, 4 MiB, and their sum had none. Bodies that nobody wants, of answers to other requests and of refusals, were kept as well.

Change: answer_memory divides answer_memory_bytes among the answers that a router holds: each may grow up to what is still free, short ones always. Bodies that are not passed on are discarded as they are read. The gauge answer_bytes shows what is held.

--- a/include/fulmaryard/endpoint_channel.hpp
+++ b/include/fulmaryard/endpoint_channel.hpp
@@ -51,6 +51,9 @@
     boost::asio::awaitable<absl::StatusOr<bool>>
     read_body(std::string& body, time_point deadline, std::size_t max_bytes = max_body_bytes);
 
+    /// Reads the rest of the response body and discards it. Fails like `read_body`.
+    boost::asio::awaitable<absl::Status> skip_body(time_point deadline);
+
     /// Whether the current response has neither a length nor chunks, so that its end is the end of
     /// the connection. Such a response may have broken off without a sign.
     bool ends_with_connection() const;
--- a/include/fulmaryard/router_settings.hpp
+++ b/include/fulmaryard/router_settings.hpp
@@ -24,6 +24,9 @@
     std::uint32_t m_retry_percent{18}; ///< Retries per hundred requests.
     std::uint32_t m_retry_slack{40};   ///< Additional retries per 10 s, for all routers together.
     std::uint32_t m_max_connections{3500}; ///< Connections from callers.
+    /// Bytes of endpoints' answers that are held until they can be passed on, for all requests
+    /// together.
+    std::uint32_t m_answer_memory_bytes{33554432};
 
     friend auto operator<=>(const router_settings&, const router_settings&) = default;
 };
--- a/src/endpoint_channel.cpp
+++ b/src/endpoint_channel.cpp
@@ -210,7 +210,7 @@
         close();
         co_return late_failure();
     }
-    if (body.size() + received > max_bytes)
+    if (received > 0 && body.size() + received > max_bytes)
     {
         close();
         co_return make_failure(
@@ -226,6 +226,20 @@
     co_return !m_state->m_response_complete;
 }
 
+asio::awaitable<absl::Status> endpoint_channel::skip_body(time_point deadline)
+{
+    std::size_t skipped = 0;
+    std::string part;
+    absl::StatusOr<bool> more = true;
+    while (more.ok() && *more)
+    {
+        more = co_await read_body(part, deadline, max_body_bytes - skipped);
+        skipped += part.size();
+        part.clear();
+    }
+    co_return more.status();
+}
+
 bool endpoint_channel::reusable() const
 {
     return m_state->m_open && m_state->m_response_complete && m_state->m_keep_alive;
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -48,6 +48,7 @@
     : m_core(core),
       m_exchange(exchange),
       m_accepted(std::move(accepted)),
+      m_share(core.m_answer_memory),
       m_wait_timer(core.m_io)
 {
     m_core.m_open_sessions.insert(this);
@@ -222,13 +223,19 @@
             co_return break_off_attempt(message_of(response.status()));
         }
         m_core.note_answer(m_endpoint, started_ms, response->m_status, response->m_fields);
-        absl::StatusOr<bool> body_incomplete = true;
-        while (body_incomplete.ok() && *body_incomplete)
-            body_incomplete = co_await m_channel->read_body(response->m_body, m_attempt_deadline);
-        if (!body_incomplete.ok())
-            co_return break_off_attempt(message_of(body_incomplete.status()));
         auto head = m_core.m_protocol.read_answer(
             m_accepted.m_call, response->m_status, response->m_fields);
+        const bool success = head.m_status < 300;
+        const bool passed_on =
+            head.m_matches_call && !head.m_not_run && (head.m_signed || !success);
+        // A body that is not passed on is read so that the connection can be reused.
+        absl::Status read;
+        if (passed_on)
+            read = co_await read_whole_body(response->m_body);
+        else
+            read = co_await m_channel->skip_body(m_attempt_deadline);
+        if (!read.ok())
+            co_return break_off_attempt(message_of(read));
         // A late response to another call can arrive on a pooled connection; skips it.
         if (!head.m_matches_call)
             continue;
@@ -238,16 +245,32 @@
             m_history.on_refused(run, true);
             co_return attempt_outcome::not_run;
         }
-        const bool success = head.m_status < 300;
-        if (success && !head.m_signed)
+        if (!passed_on)
             co_return break_off_attempt("a success without a signature");
         m_last_response =
             http_response{head.m_status, std::move(head.m_fields), std::move(response->m_body)};
+        m_share.hold(m_last_response->m_body.size());
         co_return head.m_status < 500 ? attempt_outcome::answered : attempt_outcome::failed;
     }
     co_return break_off_attempt("responses to other requests");
 }
 
+asio::awaitable<absl::Status> plain_session::read_whole_body(std::string& body)
+{
+    const auto earlier = m_last_response ? m_last_response->m_body.size() : 0;
+    absl::StatusOr<bool> more = true;
+    while (more.ok() && *more)
+    {
+        more = co_await m_channel->read_body(
+            body, m_attempt_deadline,
+            std::min(endpoint_channel::max_body_bytes, m_share.max_bytes()));
+        m_share.hold(earlier + body.size());
+    }
+    if (!more.ok())
+        m_share.hold(earlier);
+    co_return more.status();
+}
+
 plain_session::attempt_outcome plain_session::break_off_attempt(std::string_view reason) const
 {
     log_event(log_level::info, "call_broken_off")
--- a/src/plain_session.hpp
+++ b/src/plain_session.hpp
@@ -6,6 +6,7 @@
 #include "router_core.hpp"
 
 #include <fulmaryard/answer_head.hpp>
+#include <fulmaryard/answer_share.hpp>
 #include <fulmaryard/http_exchange.hpp>
 #include <fulmaryard/run_history.hpp>
 
@@ -56,6 +57,9 @@
     /// to be closed.
     boost::asio::awaitable<attempt_outcome> send_and_receive(bool reused, bool& connection_stale);
 
+    /// Reads a body that is passed on to the caller.
+    boost::asio::awaitable<absl::Status> read_whole_body(std::string& body);
+
     /// Logs why an attempt ended without an answer, which leaves open whether the call ran.
     attempt_outcome break_off_attempt(std::string_view reason) const;
 
@@ -79,6 +83,7 @@
     std::set<std::string> m_tried_endpoints; ///< Ids of the endpoints of earlier attempts.
     std::unique_ptr<endpoint_channel> m_channel;
     std::optional<http_response> m_last_response; ///< The last response of an endpoint.
+    answer_share m_share;                         ///< For the bodies of responses.
     accepted_call::time_point m_attempt_deadline;
     std::uint32_t m_send_count{0};    ///< How often the call was sent to an endpoint.
     std::uint32_t m_attempt_count{0}; ///< Attempts, including those that failed to connect.
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -57,6 +57,7 @@
     : m_io(io),
       m_settings(settings),
       m_protocol(protocol),
+      m_answer_memory(settings.m_answer_memory_bytes),
       m_channels(io.get_executor()),
       m_random(std::random_device{}())
 {
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -1,6 +1,7 @@
 #ifndef FULMARYARD_ROUTER_CORE_HPP
 #define FULMARYARD_ROUTER_CORE_HPP
 
+#include <fulmaryard/answer_memory.hpp>
 #include <fulmaryard/call_target.hpp>
 #include <fulmaryard/channel_pool.hpp>
 #include <fulmaryard/crossing_budget.hpp>
@@ -161,6 +162,7 @@
     const router_settings& m_settings;
     const endpoint_protocol& m_protocol;
     metrics m_metrics;
+    answer_memory m_answer_memory;
     std::shared_ptr<const routing_table> m_table; ///< nullptr until a configuration is known.
     endpoint_membership m_membership;
     endpoint_health m_health;
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -481,6 +481,7 @@
             {"suspected", m_core.m_health.own().size()},
             {"slow", m_core.m_health.slow(now).size()},
             {"idle_connections", m_core.m_channels.idle()},
+            {"answer_bytes", m_core.m_answer_memory.used()},
             {"configuration_version", m_core.m_table == nullptr ? 0 : m_core.m_table->version()},
             {"lease_held", m_layers.holds_lease() ? 1 : 0},
             {"store_reachable", m_store_reachable ? 1 : 0}};
--- a/src/settings_fields.hpp
+++ b/src/settings_fields.hpp
@@ -63,8 +63,10 @@
     field{"grace_ms", &router_settings::m_grace_ms, field_rules{false, 500, 86'400'000}},
     field{"retry_percent", &router_settings::m_retry_percent, field_rules{false, 0, 100}},
     field{"retry_slack", &router_settings::m_retry_slack, field_rules{false, 0, 100'000}},
+    field{"max_connections", &router_settings::m_max_connections, field_rules{false, 1, 1'000'000}},
     field{
-        "max_connections", &router_settings::m_max_connections, field_rules{false, 1, 1'000'000}}};
+        "answer_memory_bytes", &router_settings::m_answer_memory_bytes,
+        field_rules{false, 1'048'576, 4'294'967'295}}};
 
 template <>
 inline constexpr auto field_table<side_settings> = std::tuple{
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -125,7 +125,8 @@
       m_table(core.m_table),
       m_id(core.m_streams->add(*this)),
       m_queue_timer(exchange.executor()),
-      m_last_event_id(m_accepted.m_call.m_resume_after)
+      m_last_event_id(m_accepted.m_call.m_resume_after),
+      m_share(core.m_answer_memory)
 {
     m_core.m_open_sessions.insert(this);
 }
@@ -546,12 +547,9 @@
             m_accepted.m_call, response->m_status, response->m_fields);
         if (head.m_matches_call || mismatched == max_mismatched_responses)
             break;
-        std::string skipped;
-        absl::StatusOr<bool> more = true;
-        while (more.ok() && *more)
-            more = co_await m_channel->read_body(skipped, m_accepted.m_end);
-        if (!more.ok())
-            response = more.status();
+        const auto skipped = co_await m_channel->skip_body(m_accepted.m_end);
+        if (!skipped.ok())
+            response = skipped;
         else
             response = co_await m_channel->read_head(m_accepted.m_end);
     }
@@ -594,19 +592,24 @@
 
 asio::awaitable<stream_session::attempt_outcome> stream_session::relay_failure(answer_head head)
 {
+    const bool should_retry =
+        head.m_status >= 500 && m_accepted.m_route.m_resumable && within_route_limit();
+    const bool passed_on =
+        !head.m_not_run && !m_responded && !should_retry && (head.m_status >= 300 || head.m_signed);
     std::string body;
-    absl::StatusOr<bool> more = true;
-    while (more.ok() && *more)
-        more = co_await m_channel->read_body(body, m_accepted.m_end);
-    if (!more.ok())
+    // A body that is not passed on is read so that the connection can be reused.
+    absl::Status read;
+    if (passed_on)
+        read = co_await read_whole_body(body);
+    else
+        read = co_await m_channel->skip_body(m_accepted.m_end);
+    if (!read.ok())
         co_return attempt_outcome::broken;
     m_core.m_channels.put(std::move(m_channel), steady::now());
     if (head.m_not_run)
         co_return attempt_outcome::not_run;
     m_excluded_first_endpoints.insert(m_path.front().m_endpoint);
-    const bool should_retry =
-        head.m_status >= 500 && m_accepted.m_route.m_resumable && within_route_limit();
-    if (m_responded || should_retry || (head.m_status < 300 && !head.m_signed))
+    if (!passed_on)
         co_return attempt_outcome::broken;
     http_response answer{head.m_status, std::move(head.m_fields), std::move(body)};
     m_responded = true;
@@ -614,12 +617,26 @@
     co_return attempt_outcome::error_relayed;
 }
 
+asio::awaitable<absl::Status> stream_session::read_whole_body(std::string& body)
+{
+    absl::StatusOr<bool> more = true;
+    while (more.ok() && *more)
+    {
+        more = co_await m_channel->read_body(
+            body, m_accepted.m_end,
+            std::min(endpoint_channel::max_body_bytes, m_share.max_bytes()));
+        m_share.hold(body.size());
+    }
+    co_return more.status();
+}
+
 asio::awaitable<stream_session::attempt_outcome> stream_session::relay_events(answer_head head)
 {
     std::string text;
     for (absl::StatusOr<bool> more = true; *more;)
     {
-        more = co_await m_channel->read_body(text, m_accepted.m_end, max_event_bytes);
+        more = co_await m_channel->read_body(
+            text, m_accepted.m_end, std::min(max_event_bytes, m_share.max_bytes()));
         const auto size = complete_events_size(text);
         std::string passed;
         // Only numbered events are progress: a stalled endpoint may still send comments.
@@ -642,6 +659,7 @@
                 passed += event;
             });
         text.erase(0, size);
+        m_share.hold(text.size() + passed.size());
         if (!passed.empty() && !m_client_disconnected)
         {
             if (has_progress)
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -6,6 +6,7 @@
 #include "router_core.hpp"
 
 #include <fulmaryard/answer_head.hpp>
+#include <fulmaryard/answer_share.hpp>
 #include <fulmaryard/http_exchange.hpp>
 #include <fulmaryard/run_history.hpp>
 
@@ -100,6 +101,8 @@
     boost::asio::awaitable<std::optional<attempt_outcome>> open_channel(bool& reused);
     boost::asio::awaitable<attempt_outcome> relay_events(answer_head head);
     boost::asio::awaitable<attempt_outcome> relay_failure(answer_head head);
+    /// Reads a body that is passed on to the caller.
+    boost::asio::awaitable<absl::Status> read_whole_body(std::string& body);
     boost::asio::awaitable<void> refuse(std::string_view reason);
     /// Refuses a request whose prompt holds a quarantined part; it may be tried again after `wait`.
     boost::asio::awaitable<void> refuse_quarantined(std::chrono::milliseconds wait);
@@ -160,6 +163,7 @@
     std::chrono::steady_clock::duration m_mean_event_interval{};
     std::optional<std::uint64_t> m_last_event_id; ///< Id of the last event relayed.
     std::uint64_t m_event_count{0};               ///< Events relayed to the caller.
+    answer_share m_share;                         ///< For what is not passed on yet.
     run_history m_history;                        ///< First endpoints that the request was sent to.
     std::uint32_t m_attempt_count{0};  ///< All attempts, including those that reached no endpoint.
     bool m_client_disconnected{false}; ///< The caller has disconnected.
--- a/tests/process/answers_without_end_test.cpp
+++ b/tests/process/answers_without_end_test.cpp
@@ -18,10 +18,16 @@
 constexpr auto late_after = 500ms;
 constexpr auto give_up_after = 3s;
 
-std::string answer_head(const std::string& call)
+/// Less than the limit of a body that the router accepts.
+constexpr std::size_t large_body_bytes = 4'000'000;
+
+/// Memory of the smallest instances on the users' platform.
+constexpr std::size_t instance_memory_kb = 160 * 1024;
+
+std::string answer_head(const std::string& call, const std::string& status = "200 OK")
 {
     return fmt::format(
-        "HTTP/1.1 200 OK\r\nFulmaryard-Attempt-Id: {}\r\nFulmaryard-Response-Signature: s\r\n",
+        "HTTP/1.1 {}\r\nFulmaryard-Attempt-Id: {}\r\nFulmaryard-Response-Signature: s\r\n", status,
         call);
 }
 
@@ -30,19 +36,36 @@
     return {answer_head(call) + "Content-Length: 4\r\n\r\ndone", false};
 }
 
+scripted_endpoint::reply whole_stream(const std::string& call)
+{
+    const std::string events = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
+    return {
+        answer_head(call) + fmt::format("Content-Length: {}\r\n\r\n", events.size()) + events,
+        false};
+}
+
 /// An answer that begins with `begin` and goes on with `repeated` until the router closes.
 scripted_endpoint::reply endless_answer(const std::string& begin, const std::string& repeated)
 {
     return {begin, true, 0ms, "", repeated};
 }
 
+/// The same, which pauses after a large body, so that the router holds many at once.
+scripted_endpoint::reply large_endless_answer(const std::string& begin, const std::string& repeated)
+{
+    std::string body;
+    while (body.size() < large_body_bytes)
+        body += repeated;
+    return {begin + body, true, 1s, repeated, repeated};
+}
+
 /// What callers see that send one request after another at the same time, each with a time limit.
 struct caller_load
 {
     std::chrono::milliseconds m_time_limit;
     std::atomic<int> m_sent{0};
     std::atomic<int> m_late{0};       ///< Not answered `late_after` after their time.
-    std::atomic<int> m_unanswered{0}; ///< Given up without an answer.
+    std::atomic<int> m_unanswered{0}; ///< Ended or given up without an answer.
 
     void run(const std::string& address, const std::string& target, int callers, int requests)
     {
@@ -71,7 +94,7 @@
         const auto response = client.send(request, m_time_limit + give_up_after);
         const auto after = steady::now() - begin;
         m_late += after > m_time_limit + late_after ? 1 : 0;
-        m_unanswered += !response.ok() && after >= m_time_limit + give_up_after ? 1 : 0;
+        m_unanswered += response.ok() ? 0 : 1;
     }
 };
 
@@ -110,4 +133,48 @@
     }
 }
 
+TEST_CASE("answers without end leave memory for the answers of other callers")
+{
+    // Guards against a router that runs out of memory, each answer within its limit.
+    const std::string close = "Connection: close\r\n\r\n";
+    std::string target = "/orders/1";
+    std::optional<layer_range> layers;
+    std::function<scripted_endpoint::reply(const std::string&)> answer;
+    SUBCASE("of other requests")
+    {
+        answer = [&](const std::string&)
+        { return large_endless_answer(answer_head("another") + close, "x"); };
+    }
+    SUBCASE("of this request")
+    {
+        answer = [&](const std::string& call)
+        { return large_endless_answer(answer_head(call) + close, "x"); };
+    }
+    SUBCASE("with an error")
+    {
+        answer = [&](const std::string& call)
+        { return large_endless_answer(answer_head(call, "500 Oops") + close, "x"); };
+    }
+    SUBCASE("with comments in a stream")
+    {
+        layers = layer_range{0, 12};
+        target = "/chat/1";
+        answer = [&](const std::string& call)
+        { return large_endless_answer(answer_head(call) + close, ": comment\n"); };
+    }
+    scripted_endpoint faulty([&](const std::string& call, int) { return answer(call); });
+    scripted_endpoint sound_model([](const std::string& call, int) { return whole_stream(call); });
+    router_system system(0, 0);
+    system.add_endpoint("faulty", faulty, layers);
+    system.add_endpoint("sound-model", sound_model, layer_range{0, 12});
+    system.start_router("router-1");
+    caller_load load{8s};
+    load.run(system.address("router-1"), target, 120, 2);
+    CHECK(load.m_unanswered.load() == 0);
+    REQUIRE(system.process("router-1").running());
+    const auto peak_memory_kb = system.process("router-1").memory_kilobytes("VmHWM");
+    CHECK(peak_memory_kb > 0);
+    CHECK(peak_memory_kb < instance_memory_kb);
+}
+
 TEST_SUITE_END();
