Routers: take changed settings over at SIGHUP

Cause: the reload took over log_level alone; the time of the exit came from the settings of the start.

Change: grace_ms, retry_percent and retry_slack are taken over as well, a shorter grace_ms also during a stop. Other changed keys are named in settings_kept.

Evidence: process.planned_stop "a shorter time to stop that the settings name after the start" failed before (both stops lasted longer than the new time), passes after.

--- a/include/fulmaryard/router_process.hpp
+++ b/include/fulmaryard/router_process.hpp
@@ -7,6 +7,7 @@
 #include <fulmaryard/router_settings.hpp>
 
 #include <absl/status/status.h>
+#include <absl/status/statusor.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -22,8 +23,8 @@
 class router_process
 {
 public:
-    /// Reloads the settings; called on SIGHUP.
-    using settings_source = std::function<absl::Status()>;
+    /// Reads the settings again; called on SIGHUP.
+    using settings_source = std::function<absl::StatusOr<router_settings>()>;
 
     router_process(
         boost::asio::io_context& io, router_settings settings, const endpoint_protocol& protocol,
--- a/src/field_table.hpp
+++ b/src/field_table.hpp
@@ -21,6 +21,7 @@
     std::uint64_t m_min{0};
     std::uint64_t m_max{std::numeric_limits<std::uint32_t>::max()};
     text_check m_check{nullptr}; ///< Applied to a text, or to each text in a list.
+    bool m_reloadable{false};    ///< A running process takes over a changed value.
 };
 
 /// One member of an aggregate with its key in YAML and JSON.
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -15,6 +15,7 @@
 #include <fulmaryard/metric_counter.hpp>
 #include <fulmaryard/process_lifecycle.hpp>
 #include <fulmaryard/router_process.hpp>
+#include <fulmaryard/settings_parser.hpp>
 #include <fulmaryard/stream_id.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,6 +28,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -591,13 +593,30 @@
 
     void reload()
     {
-        const auto status = m_reload();
-        if (status.ok())
-            log_event(log_level::info, "settings_reloaded");
-        else
+        const auto reloaded = m_reload();
+        if (!reloaded.ok())
+        {
+            log_event(log_level::error, "settings_refused")
+                .with("error", message_of(reloaded.status()));
+            return;
+        }
+        const auto kept = reload_router_settings(m_settings, *reloaded);
+        set_log_level(parse_log_level(m_settings.m_log_level));
+        log_event(log_level::info, "settings_reloaded").with("grace_ms", m_settings.m_grace_ms);
+        if (!kept.empty())
         {
-            log_event(log_level::error, "settings_refused").with("error", message_of(status));
+            log_event(log_level::warning, "settings_kept")
+                .with("until_restart", fmt::format("{}", fmt::join(kept, ",")));
         }
+        // SIGKILL may come sooner than expected when the drain began, but not later.
+        if (m_drain_start)
+            m_exit_deadline = std::min(m_exit_deadline, exit_deadline(*m_drain_start));
+    }
+
+    /// When requests are ended if the drain began at `start`.
+    steady::time_point exit_deadline(steady::time_point start) const
+    {
+        return start + std::chrono::milliseconds(m_settings.m_grace_ms) - exit_margin_before_kill;
     }
 
     asio::awaitable<void> drain()
@@ -605,8 +624,8 @@
         if (!m_lifecycle.begin_drain())
             co_return;
         const auto start = steady::now();
-        m_exit_deadline =
-            start + std::chrono::milliseconds(m_settings.m_grace_ms) - exit_margin_before_kill;
+        m_drain_start = start;
+        m_exit_deadline = exit_deadline(start);
         m_caller_server.disable_keep_alive();
         asio::steady_timer timer(m_io);
         while (steady::now() < m_exit_deadline)
@@ -651,7 +670,8 @@
     steady::time_point m_started_at{steady::now()};
     bool m_endpoints_known{false};
     bool m_refuses_long_requests{false}; ///< Refuses requests that may outlast the process.
-    steady::time_point m_exit_deadline;  ///< Latest exit time; set when the drain begins.
+    std::optional<steady::time_point> m_drain_start;
+    steady::time_point m_exit_deadline; ///< Latest exit time; set when the drain begins.
     bool m_stopped{false};
     bool m_store_reachable{true};
     std::set<std::string> m_router_addresses;
--- a/src/settings_fields.hpp
+++ b/src/settings_fields.hpp
@@ -59,10 +59,18 @@
         "metrics_listen", &router_settings::m_metrics_listen,
         field_rules{true, 0, 0, check_address}},
     field{"peer_listen", &router_settings::m_peer_listen, field_rules{true, 0, 0, check_address}},
-    field{"log_level", &router_settings::m_log_level, field_rules{false, 0, 0, check_log_level}},
-    field{"grace_ms", &router_settings::m_grace_ms, field_rules{false, 500, 86'400'000}},
-    field{"retry_percent", &router_settings::m_retry_percent, field_rules{false, 0, 100}},
-    field{"retry_slack", &router_settings::m_retry_slack, field_rules{false, 0, 100'000}},
+    field{
+        "log_level", &router_settings::m_log_level,
+        field_rules{false, 0, 0, check_log_level, true}},
+    field{
+        "grace_ms", &router_settings::m_grace_ms,
+        field_rules{false, 500, 86'400'000, nullptr, true}},
+    field{
+        "retry_percent", &router_settings::m_retry_percent,
+        field_rules{false, 0, 100, nullptr, true}},
+    field{
+        "retry_slack", &router_settings::m_retry_slack,
+        field_rules{false, 0, 100'000, nullptr, true}},
     field{"max_connections", &router_settings::m_max_connections, field_rules{false, 1, 1'000'000}},
     field{
         "answer_memory_bytes", &router_settings::m_answer_memory_bytes,
--- a/src/settings_parser.cpp
+++ b/src/settings_parser.cpp
@@ -76,6 +76,22 @@
     return parse_settings_file<entry_settings>(path);
 }
 
+std::vector<std::string>
+reload_router_settings(router_settings& settings, const router_settings& reloaded)
+{
+    std::vector<std::string> kept;
+    for_each_field<router_settings>(
+        [&](const auto& field)
+        {
+            auto& value = settings.*field.m_member;
+            if (field.m_rules.m_reloadable)
+                value = reloaded.*field.m_member;
+            else if (value != reloaded.*field.m_member)
+                kept.emplace_back(field.m_key);
+        });
+    return kept;
+}
+
 absl::StatusOr<router_settings> parse_router_settings(const std::string& path)
 {
     return parse_settings_file<router_settings>(path);
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -63,4 +63,55 @@
     CHECK(*exit_code == 0);
 }
 
+TEST_CASE("a shorter time to stop that the settings name after the start")
+{
+    // Guards against a router that counts on the time of its start and is killed before its exit.
+    constexpr auto grace = 3s;
+    scripted_endpoint silent(
+        [](const std::string&, int) -> scripted_endpoint::reply {
+            return {"", false};
+        });
+    router_system system(0, 0);
+    system.add_endpoint("silent", silent, std::nullopt);
+    system.start_router("router-1");
+    auto& router = system.process("router-1");
+    const auto reload = [&](const std::string& extra)
+    {
+        system.write_settings("router-1", extra, grace);
+        router.kill(SIGHUP);
+        REQUIRE(
+            wait_until([&] { return router.output().find("settings_re") != std::string::npos; }));
+    };
+    auto request = router_system::make_request("POST", "/orders/1", "order-1");
+    request.m_fields[1].m_value = "30000";
+    auto answer = std::async(
+        std::launch::async, [request, address = system.address("router-1")]
+        { return test_client(address).send(request, 20s); });
+    REQUIRE(wait_until([&] { return silent.arrivals("order-1") > 0; }));
+
+    SUBCASE("is kept when they were read before the stop")
+    {
+        reload("");
+        router.kill(SIGTERM);
+        CHECK(router.wait(grace).ok());
+        CHECK(answer.get().ok());
+    }
+    SUBCASE("is kept when they are read during the stop")
+    {
+        router.kill(SIGTERM);
+        std::this_thread::sleep_for(500ms);
+        reload("");
+        CHECK(router.wait(grace - 500ms).ok());
+        CHECK(answer.get().ok());
+    }
+    SUBCASE("is not taken over from settings with an error")
+    {
+        reload("retry_percent: 500\n");
+        CHECK(router.output().find("settings_refused") != std::string::npos);
+        router.kill(SIGTERM);
+        CHECK_FALSE(router.wait(grace + 1s).ok());
+        CHECK(answer.get().ok());
+    }
+}
+
 TEST_SUITE_END();
--- a/tests/process/router_system.hpp
+++ b/tests/process/router_system.hpp
@@ -86,21 +86,30 @@
     /// Starts a router without waiting until it is ready.
     void launch_router(const std::string& name, const std::string& extra_settings = "")
     {
+        write_settings(name, extra_settings);
         auto& started = m_routers[name];
         const std::string path = m_directory.file(name + ".yaml");
+        started.m_process = std::make_unique<child_process>(
+            FULMARYARD_BINARY, std::vector<std::string>{"router", "--settings", path},
+            m_directory.file(name));
+    }
+
+    /// Writes the settings file of a router, which reads it at its start and at SIGHUP.
+    void write_settings(
+        const std::string& name, const std::string& extra_settings = "",
+        std::chrono::milliseconds grace = std::chrono::seconds(8))
+    {
+        const auto& settings = m_routers[name];
         const auto link = m_links.find(name);
-        std::FILE* file = std::fopen(path.c_str(), "w");
+        std::FILE* file = std::fopen(m_directory.file(name + ".yaml").c_str(), "w");
         fmt::print(
             file,
             "name: {}\nregion: r\nfailure_domain: domain-1\nplatform: {}\nlisten: {}\n"
-            "ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\ngrace_ms: 8000\n{}",
+            "ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\ngrace_ms: {}\n{}",
             name, link == m_links.end() ? m_store : link->second.m_relay.address(),
-            started.m_listen.address(), started.m_ready.address(), started.m_metrics.address(),
-            started.m_peer.address(), extra_settings);
+            settings.m_listen.address(), settings.m_ready.address(), settings.m_metrics.address(),
+            settings.m_peer.address(), grace.count(), extra_settings);
         std::fclose(file);
-        started.m_process = std::make_unique<child_process>(
-            FULMARYARD_BINARY, std::vector<std::string>{"router", "--settings", path},
-            m_directory.file(name));
     }
 
     bool ready(const std::string& name) const
--- a/tests/unit/settings_parser_test.cpp
+++ b/tests/unit/settings_parser_test.cpp
@@ -145,4 +145,32 @@
               .ok());
 }
 
+TEST_CASE("settings of a router that change while it runs")
+{
+    router_settings settings;
+    settings.m_name = "router-1";
+    settings.m_grace_ms = 8000;
+    router_settings reloaded = settings;
+
+    SUBCASE("take effect if the router can follow them")
+    {
+        reloaded.m_grace_ms = 4000;
+        reloaded.m_retry_percent = 5;
+        reloaded.m_retry_slack = 7;
+        reloaded.m_log_level = "debug";
+        CHECK(reload_router_settings(settings, reloaded).empty());
+        CHECK(settings == reloaded);
+    }
+    SUBCASE("are named and kept otherwise")
+    {
+        reloaded.m_listen = "127.0.0.1:1";
+        reloaded.m_answer_memory_bytes = 2'000'000;
+        const auto before = settings;
+        CHECK(
+            reload_router_settings(settings, reloaded) ==
+            std::vector<std::string>{"listen", "answer_memory_bytes"});
+        CHECK(settings == before);
+    }
+}
+
 TEST_SUITE_END();
