--- a/tests/process/answers_without_end_test.cpp
+++ b/tests/process/answers_without_end_test.cpp
@@ -70,6 +70,7 @@
     void run(const std::string& address, const std::string& target, int callers, int requests)
     {
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(callers));
         for (int caller = 0; caller < callers; ++caller)
         {
             threads.emplace_back(
