Routers: log what ruled a further attempt out, and how long the router itself was held up

The logs could not tell the hypotheses of the unanswered request apart. `stream_ended` and `request_refused` name the one of seven reasons for which no attempt followed, `attempt_abandoned` the time without an event, `loop_delayed` a tick that came late, `response_cut` and `connection_limit` connections of callers that this process closes. A call whose caller leaves has a `call_ended` now. No decision changes.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -212,7 +212,12 @@
     {
         m_stream.expires_never();
         if (error)
+        {
             m_usable = false;
+            log_event(log_level::info, "response_cut")
+                .with("connection", m_connection)
+                .with("reason", error.message());
+        }
         return write_status(error);
     }
 
@@ -343,7 +348,11 @@
             continue;
         }
         if (m_open_connections.load() >= m_limits.m_max_connections)
+        {
+            log_event(log_level::warning, "connection_limit")
+                .with("open", m_open_connections.load());
             continue; // The destructor closes the socket.
+        }
         beast::error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         const auto executor = socket.get_executor();
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -101,7 +101,7 @@
         m_channel.reset();
         m_tried_endpoints.insert(m_endpoint);
         if (m_client_disconnected)
-            break;
+            co_return log_end("caller_left");
         if (end == attempt_outcome::answered || !may_retry(end))
             co_return co_await finish(end);
     }
@@ -289,8 +289,24 @@
     // earlier send may have run it.
     if (end == attempt_outcome::not_run && m_history.may_have_run())
         end = attempt_outcome::unknown;
+    log_end(outcome_names[static_cast<std::size_t>(end)]);
+    http_response response;
+    if (m_last_response && end != attempt_outcome::not_run)
+        response = *std::move(m_last_response);
+    else if (end == attempt_outcome::not_run)
+        response = m_core.m_protocol.refusal(
+            m_accepted.m_call, 503, m_core.retry_after(m_accepted.m_service));
+    else
+    {
+        const bool deadline_passed = steady::now() >= m_attempt_deadline;
+        response = m_core.m_protocol.refusal(m_accepted.m_call, deadline_passed ? 504 : 502, {});
+    }
+    std::ignore = co_await m_exchange.respond(std::move(response));
+}
+
+void plain_session::log_end(std::string_view outcome) const
+{
     const auto now = steady::now();
-    const auto outcome = outcome_names[static_cast<std::size_t>(end)];
     m_core.m_metrics
         .counter("fulmaryard_router_calls_total", fmt::format("outcome=\"{}\"", outcome))
         .add();
@@ -305,18 +321,6 @@
             "after_ms",
             std::chrono::duration_cast<std::chrono::milliseconds>(now - m_accepted.m_arrival)
                 .count());
-    http_response response;
-    if (m_last_response && end != attempt_outcome::not_run)
-        response = *std::move(m_last_response);
-    else if (end == attempt_outcome::not_run)
-        response = m_core.m_protocol.refusal(
-            m_accepted.m_call, 503, m_core.retry_after(m_accepted.m_service));
-    else
-    {
-        const bool deadline_passed = now >= m_attempt_deadline;
-        response = m_core.m_protocol.refusal(m_accepted.m_call, deadline_passed ? 504 : 502, {});
-    }
-    std::ignore = co_await m_exchange.respond(std::move(response));
 }
 
 } // namespace fulmaryard
--- a/src/plain_session.hpp
+++ b/src/plain_session.hpp
@@ -73,6 +73,7 @@
 
     /// Records the outcome in metrics and log, and responds to the client.
     boost::asio::awaitable<void> finish(attempt_outcome end);
+    void log_end(std::string_view outcome) const;
 
     bool idempotent() const { return m_accepted.m_route.m_kind == call_kind::idempotent; }
 
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -13,6 +13,7 @@
 #include <fulmaryard/http_server.hpp>
 #include <fulmaryard/log.hpp>
 #include <fulmaryard/metric_counter.hpp>
+#include <fulmaryard/metric_histogram.hpp>
 #include <fulmaryard/process_lifecycle.hpp>
 #include <fulmaryard/router_process.hpp>
 #include <fulmaryard/settings_parser.hpp>
@@ -50,6 +51,9 @@
 // so it is longer than any idle timeout that operators configure.
 constexpr std::chrono::milliseconds caller_idle_timeout{60'000};
 
+// A tick that is later than this is logged: the process did not run, or a handler took long.
+constexpr std::chrono::milliseconds notable_loop_delay{100};
+
 // After SIGTERM all new requests are still served for this long, because load balancers keep
 // sending callers here until they have checked readiness twice. Later only requests that end before
 // the process exits are served.
@@ -125,7 +129,7 @@
           m_inspection_server(
               io, {}, [this](http_exchange& exchange) { return serve_inspection(exchange); }),
           m_signals(io, SIGTERM, SIGHUP),
-          m_tick_timer(io),
+          m_tick_timer(io, steady::now()),
           m_start_timer(io, steady::time_point::max())
     {
         m_core.m_streams = &m_streams;
@@ -519,6 +523,7 @@
         while (!m_stopped)
         {
             const auto now = steady::now();
+            record_loop_delay(now - m_tick_timer.expiry());
             if (m_core.m_membership.on_tick(now))
                 log_event(log_level::info, "endpoints_expired");
             m_core.m_refusals.on_tick(now);
@@ -536,6 +541,16 @@
         }
     }
 
+    void record_loop_delay(steady::duration delay)
+    {
+        if (delay < notable_loop_delay)
+            return;
+        m_core.m_metrics.histogram("fulmaryard_router_loop_delay_seconds").record(delay);
+        log_event(log_level::info, "loop_delayed")
+            .with("ms", std::chrono::duration_cast<std::chrono::milliseconds>(delay).count())
+            .with("streams", m_streams.size());
+    }
+
     /// Asks an endpoint for its layers, since its entry may be older than what is known of it. Its
     /// answer also says whether it leaves.
     asio::awaitable<void> query_layers(std::string endpoint)
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -177,7 +177,8 @@
         .with("request", m_accepted.m_call.m_id)
         .with("reason", reason)
         .with("path", describe(m_path))
-        .with("events", m_event_count);
+        .with("events", m_event_count)
+        .with("silent_ms", to_ms(steady::now() - m_last_progress));
     m_abandoned = true;
     // Pooled connections to the same address may be stalled for the same reason.
     m_core.m_channels.close_idle(m_channel->address());
@@ -328,31 +329,36 @@
             co_return log_end("answered", "");
         if (end == attempt_outcome::error_relayed)
             co_return log_end("failed_by_endpoint", "");
-        if (may_retry(end))
+        const auto denial = retry_denial(end);
+        if (denial.empty())
             continue;
         // A refusal guarantees that nothing was executed.
         if (!m_history.may_have_run())
-            co_return co_await refuse("refused by its endpoints");
-        co_return co_await fail_request("broken off");
+            co_return co_await refuse("refused by its endpoints", denial);
+        co_return co_await fail_request("broken off", denial);
     }
 }
 
-bool stream_session::may_retry(attempt_outcome end)
+std::string_view stream_session::retry_denial(attempt_outcome end)
 {
     const auto now = steady::now();
-    if (m_ended || now + response_margin >= m_accepted.m_end || m_attempt_count >= max_attempts)
-        return false;
+    if (m_ended)
+        return "shutdown";
+    if (now + response_margin >= m_accepted.m_end)
+        return "deadline";
+    if (m_attempt_count >= max_attempts)
+        return "attempts of any kind";
     if (m_quarantined ||
         (m_crashed && !m_core.m_quarantine.may_repeat(m_accepted.m_call.m_shared_parts, now)))
-        return false;
+        return "quarantine";
     if (!m_accepted.m_route.m_resumable && m_history.may_have_run())
-        return false;
+        return "may have run";
     if (!within_route_limit())
-        return false;
+        return "route limit";
     if (end == attempt_outcome::unreachable)
-        return true;
+        return "";
     // `abandon_attempt` has already charged this retry to the retry budget.
-    return m_abandoned || m_core.try_retry(m_accepted.m_service);
+    return m_abandoned || m_core.try_retry(m_accepted.m_service) ? "" : "retry budget";
 }
 
 std::chrono::milliseconds stream_session::max_queueing_time() const
@@ -726,7 +732,7 @@
     return attempt_outcome::broken;
 }
 
-asio::awaitable<void> stream_session::refuse(std::string_view reason)
+asio::awaitable<void> stream_session::refuse(std::string_view reason, std::string_view denial)
 {
     const auto now = steady::now();
     std::chrono::milliseconds retry_after{0};
@@ -744,6 +750,7 @@
     log_event(log_level::info, "request_refused")
         .with("request", m_accepted.m_call.m_id)
         .with("reason", reason)
+        .with("no_retry", denial)
         .with("tokens", m_tokens)
         .with("waiting", m_core.m_wait_queue.size())
         .with("returning", m_is_retry)
@@ -754,9 +761,9 @@
     std::ignore = co_await m_exchange.respond(std::move(response));
 }
 
-asio::awaitable<void> stream_session::fail_request(std::string_view reason)
+asio::awaitable<void> stream_session::fail_request(std::string_view reason, std::string_view denial)
 {
-    log_end("broken_off", reason);
+    log_end("broken_off", reason, denial);
     if (m_responded)
     {
         m_exchange.abort_connection();
@@ -768,7 +775,8 @@
     std::ignore = co_await m_exchange.respond(std::move(response));
 }
 
-void stream_session::log_end(std::string_view outcome, std::string_view reason)
+void stream_session::log_end(
+    std::string_view outcome, std::string_view reason, std::string_view denial)
 {
     const auto now = steady::now();
     m_core.m_metrics
@@ -778,6 +786,7 @@
         .with("request", m_accepted.m_call.m_id)
         .with("outcome", outcome)
         .with("reason", reason)
+        .with("no_retry", denial)
         .with("events", m_event_count)
         .with("attempts", m_attempt_count)
         .with("first", m_last_first_endpoint)
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -103,7 +103,7 @@
     boost::asio::awaitable<attempt_outcome> relay_failure(answer_head head);
     /// Reads a body that is passed on to the caller.
     boost::asio::awaitable<absl::Status> read_whole_body(std::string& body);
-    boost::asio::awaitable<void> refuse(std::string_view reason);
+    boost::asio::awaitable<void> refuse(std::string_view reason, std::string_view denial = "");
     /// Refuses a request whose prompt holds a quarantined part; it may be tried again after `wait`.
     boost::asio::awaitable<void> refuse_quarantined(std::chrono::milliseconds wait);
     /// Finds out whether the first endpoint, `run` of which began at `started_ms`, crashed as it
@@ -112,8 +112,11 @@
     /// Records events of the current attempt. An endpoint that goes on after the first one does not
     /// crash under this prompt.
     void count_attempt_events(std::uint64_t events, bool complete);
-    boost::asio::awaitable<void> fail_request(std::string_view reason);
-    bool may_retry(attempt_outcome end);
+    boost::asio::awaitable<void>
+    fail_request(std::string_view reason, std::string_view denial = "");
+    /// Why no further attempt may follow one that ended with `end`; empty if one may. Takes it from
+    /// the retry budget then.
+    std::string_view retry_denial(attempt_outcome end);
     /// Reserves capacity on `path`. The endpoints in `prefilling` have to prefill the current
     /// context.
     void set_path(std::vector<path_hop> path, std::vector<path_hop> prefilling);
@@ -138,7 +141,7 @@
     boost::asio::awaitable<void> check_ended_runs();
     /// Logs why the current attempt broke off, and lets later ones begin at another endpoint.
     attempt_outcome break_off_attempt(std::string_view reason);
-    void log_end(std::string_view outcome, std::string_view reason);
+    void log_end(std::string_view outcome, std::string_view reason, std::string_view denial = "");
 
     router_core& m_core;
     http_exchange& m_exchange;
