--- a/tests/process/streams_without_pipeline_test.cpp
+++ b/tests/process/streams_without_pipeline_test.cpp
@@ -1,4 +1,4 @@
-#include "process/event_stream.hpp"
+#include "process/received_stream.hpp"
 #include "process/router_system.hpp"
 
 #include <atomic>
@@ -39,32 +39,11 @@
     return at == std::string::npos ? 1 : std::stoi(head.substr(at + name.size())) + 1;
 }
 
-/// Reads a stream to its end. `m_complete` tells whether the end was that of a complete response.
-struct received_stream
+received_stream
+receive(const router_system& system, const std::string& target, const std::string& call)
 {
-    received_stream(const router_system& system, const std::string& target, const std::string& call)
-    {
-        const auto request = router_system::make_request("POST", target, call);
-        auto opened = event_stream::open(system.address("router-1"), request, 5s);
-        if (!opened.ok())
-            return;
-        m_status = opened->status();
-        for (;;)
-        {
-            const auto event = opened->next(5s);
-            m_complete = event.ok() && !*event;
-            if (!event.ok() || !*event)
-                return;
-            m_ids.push_back((*event)->m_id);
-            m_received.push_back((*event)->m_received);
-        }
-    }
-
-    unsigned m_status{0};
-    bool m_complete{false};
-    std::vector<std::string> m_ids;
-    std::vector<std::chrono::steady_clock::time_point> m_received;
-};
+    return {system.address("router-1"), router_system::make_request("POST", target, call)};
+}
 
 } // namespace
 
@@ -99,7 +78,7 @@
     {
         SUBCASE("goes on at another endpoint if it may be resumed")
         {
-            const received_stream stream(system, "/feed/1", "call-1");
+            const auto stream = receive(system, "/feed/1", "call-1");
             CHECK(stream.m_status == 200);
             CHECK(stream.m_complete);
             CHECK(stream.m_ids == all);
@@ -108,14 +87,14 @@
         }
         SUBCASE("is broken off for its caller if it may run once only")
         {
-            const received_stream stream(system, "/feed-once/1", "call-1");
+            const auto stream = receive(system, "/feed-once/1", "call-1");
             CHECK_FALSE(stream.m_complete);
             CHECK(calls == 1);
         }
         SUBCASE("is broken off for its caller if all endpoints break it off")
         {
             all_break = true;
-            const received_stream stream(system, "/feed/1", "call-1");
+            const auto stream = receive(system, "/feed/1", "call-1");
             CHECK_FALSE(stream.m_complete);
             CHECK(one.arrivals("call-1") + other.arrivals("call-1") == 2);
         }
@@ -124,13 +103,13 @@
     {
         broken.clear();
         all_break = true;
-        const received_stream stream(system, "/feed-once/1", "call-1");
+        const auto stream = receive(system, "/feed-once/1", "call-1");
         CHECK(stream.m_status != 200);
     }
     SUBCASE("that is whole reaches its caller")
     {
         calls = 1;
-        const received_stream stream(system, "/feed/1", "call-1");
+        const auto stream = receive(system, "/feed/1", "call-1");
         CHECK(stream.m_status == 200);
         CHECK(stream.m_complete);
         CHECK(stream.m_ids == all);
@@ -151,7 +130,7 @@
     router_system system(0, 0);
     system.add_endpoint("one", endpoint, std::nullopt);
     system.start_router("router-1");
-    const received_stream stream(system, "/feed/1", "call-1");
+    const auto stream = receive(system, "/feed/1", "call-1");
     CHECK(stream.m_complete);
     REQUIRE(stream.m_ids.size() == event_count);
     CHECK(stream.m_received[2] - stream.m_received[1] >= pause / 2);
