Streams: an endpoint whose events wait to be read is not silent

A router that did not run for a while (a large configuration on a small share of a core, a freeze) judged its streams by the time since it had relayed an event, and started a second attempt for streams whose events had arrived meanwhile: its own pause was taken for a silence. With more sockets than one turn of the event loop serves, the tick came before the reads. Before a takeover the connection is asked now whether bytes wait in it.

--- a/include/fulmaryard/endpoint_channel.hpp
+++ b/include/fulmaryard/endpoint_channel.hpp
@@ -66,6 +66,9 @@
     /// socket without blocking.
     bool is_open_and_idle();
 
+    /// Whether bytes have arrived that no operation has read yet. Does not block.
+    bool has_unread_bytes() const;
+
     /// Time until which an idle connection may be reused: the keep-alive timeout of the peer less a
     /// safety margin.
     time_point reusable_until() const;
--- a/src/endpoint_channel.cpp
+++ b/src/endpoint_channel.cpp
@@ -262,6 +262,12 @@
     return error == asio::error::would_block;
 }
 
+bool endpoint_channel::has_unread_bytes() const
+{
+    beast::error_code error;
+    return m_state->m_stream.socket().available(error) > 0 && !error;
+}
+
 endpoint_channel::time_point endpoint_channel::reusable_until() const
 {
     return m_state->m_reusable_until;
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -139,9 +139,12 @@
 
 bool stream_session::may_start_takeover(time_point now) const
 {
-    return running() && !taking_over() && now >= m_next_takeover &&
-           now + response_margin < m_accepted.m_end && m_accepted.m_route.m_resumable &&
-           m_attempt_count < max_attempts && within_route_limit();
+    if (!running() || taking_over() || now < m_next_takeover ||
+        now + response_margin >= m_accepted.m_end || !m_accepted.m_route.m_resumable ||
+        m_attempt_count >= max_attempts || !within_route_limit())
+        return false;
+    // If this process was held up, the endpoint is not silent: its events wait to be read.
+    return !m_leader->m_channel->has_unread_bytes();
 }
 
 void stream_session::start_takeover(std::string_view reason)
