Streams: a caller that does not read is no silence of its endpoint

While a chunk waits for its caller to read, no event can be relayed. The time in which the caller did not read does not count as a pause now, and no takeover starts meanwhile.

--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -152,7 +152,7 @@
         }
         move_from_lost(session, now);
         move_from_slow(session, now);
-        const auto silent = now - session.last_progress();
+        const auto silent = now - session.last_progress(now);
         if (silent > max_silence && !session.m_repath_pending)
             take_over(session, "no event");
         else if (session.has_pipeline() && silent > check_delay(session))
@@ -170,7 +170,7 @@
     if (session.path().empty() || session.m_repath_pending || session.taking_over())
         return;
     const auto& first = session.path().front().m_endpoint;
-    if (m_core.lost(first) && now - session.last_progress() > stall_threshold)
+    if (m_core.lost(first) && now - session.last_progress(now) > stall_threshold)
     {
         take_over(session, "first endpoint lost");
         return;
@@ -183,7 +183,7 @@
             if (record == nullptr || m_core.leaving(*record))
                 return true;
             // A stream that makes progress is not moved because of silence elsewhere.
-            const bool progresses = now - session.last_progress() <= stall_threshold;
+            const bool progresses = now - session.last_progress(now) <= stall_threshold;
             if (progresses ? m_core.m_health.failed(record->m_id, record->m_started_ms, now)
                            : !m_core.usable(*record))
                 return true;
@@ -196,7 +196,7 @@
         return;
     if (session.m_repath_count >= max_repaths)
     {
-        if (now - session.last_progress() > stall_threshold)
+        if (now - session.last_progress(now) > stall_threshold)
             take_over(session, "no other path accepted");
         return;
     }
--- a/src/stream_attempts.cpp
+++ b/src/stream_attempts.cpp
@@ -350,6 +350,8 @@
 
 asio::awaitable<void> stream_session::send_events(answer_head& head, const std::string& events)
 {
+    const auto start = steady::now();
+    m_is_sending = true;
     if (!m_responded)
     {
         m_responded = true;
@@ -359,6 +361,9 @@
     }
     const auto status = co_await m_exchange.send_chunk(events);
     m_client_disconnected = m_client_disconnected || !status.ok();
+    m_is_sending = false;
+    // Time that the caller took to read is not a pause of the endpoint.
+    m_last_progress += steady::now() - start;
 }
 
 void stream_session::lead(stream_attempt& attempt)
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -139,7 +139,7 @@
 
 bool stream_session::may_start_takeover(time_point now) const
 {
-    if (!running() || taking_over() || now < m_next_takeover ||
+    if (!running() || m_is_sending || taking_over() || now < m_next_takeover ||
         now + response_margin >= m_accepted.m_end || !m_accepted.m_route.m_resumable ||
         m_attempt_count >= max_attempts || !within_route_limit())
         return false;
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -57,7 +57,9 @@
     double tokens() const { return m_tokens; }
     /// Estimated number of tokens in the prompt and in the events relayed so far.
     double context_tokens() const;
-    time_point last_progress() const { return m_last_progress; }
+    /// When the last events were relayed or an attempt began; now while the caller has not taken
+    /// the events that were read.
+    time_point last_progress(time_point now) const { return m_is_sending ? now : m_last_progress; }
     /// When events were last relayed; the epoch of the clock before the first.
     time_point last_event() const { return m_last_event_time; }
     /// Exponential moving average of the time between events; 0 before the second event.
@@ -202,6 +204,7 @@
     bool m_quarantined{false};         ///< A part of the prompt was quarantined meanwhile.
     bool m_is_retry{false};            ///< The caller retries after a refusal with Retry-After.
     bool m_responded{false};           ///< A response to the caller has begun.
+    bool m_is_sending{false};          ///< Events are being sent to the caller.
 };
 
 } // namespace fulmaryard
