Calls: keep an attempt without an answer beside the second one

A call with a single endpoint got 504 with two fifths of its time left.

A second attempt starts beside the first at that time, within the limit of the route and the retry budget. The first answer counts; a status of 500 or above only when no attempt is left. Nothing changes for calls that may run once.

--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -6,9 +6,12 @@
 #include <fulmaryard/metric_counter.hpp>
 #include <fulmaryard/metric_histogram.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <exception>
 #include <tuple>
 #include <utility>
 
@@ -32,6 +35,10 @@
 
 constexpr std::uint32_t max_attempts = 4; // Including those that fail to connect.
 
+// An idempotent call that is not answered after this share of its time is sent to a second endpoint
+// as well. The rest is enough for a typical call.
+constexpr int second_attempt_percent = 60;
+
 // Responses to other calls that one attempt skips on a pooled connection.
 constexpr int max_mismatched_responses = 3;
 
@@ -49,7 +56,9 @@
       m_exchange(exchange),
       m_accepted(std::move(accepted)),
       m_share(core.m_answer_memory),
-      m_wait_timer(core.m_io)
+      m_latest_answer(m_accepted.m_end - response_margin),
+      m_wait_timer(core.m_io),
+      m_attempt_timer(core.m_io)
 {
     m_core.m_open_sessions.insert(this);
 }
@@ -63,8 +72,18 @@
 {
     m_ended = true;
     m_wait_timer.cancel();
-    if (m_channel != nullptr)
-        m_channel->close();
+    close_attempts();
+}
+
+void plain_session::close_attempts()
+{
+    for (const auto& attempt : m_attempts)
+        attempt->close();
+}
+
+bool plain_session::stopped(const plain_attempt& attempt) const
+{
+    return attempt.m_closed || m_client_disconnected || m_ended;
 }
 
 asio::awaitable<void> plain_session::run()
@@ -74,8 +93,7 @@
         [this]
         {
             m_client_disconnected = true;
-            if (m_channel != nullptr)
-                m_channel->close();
+            close_attempts();
         });
     // After a pause or right after its start, a router may read requests of clients that have
     // already disconnected.
@@ -87,19 +105,15 @@
         co_return co_await finish(attempt_outcome::not_run);
     for (;;)
     {
-        m_endpoint = m_core.choose_endpoint(m_accepted.m_service, m_tried_endpoints);
-        if (m_endpoint.empty() && !m_tried_endpoints.empty())
-            m_endpoint = m_core.choose_endpoint(m_accepted.m_service, {});
-        if (m_endpoint.empty() && co_await wait_until_work_is_wanted())
+        auto endpoint = m_core.choose_endpoint(m_accepted.m_service, m_tried_endpoints);
+        if (endpoint.empty() && !m_tried_endpoints.empty())
+            endpoint = m_core.choose_endpoint(m_accepted.m_service, {});
+        if (endpoint.empty() && co_await wait_until_work_is_wanted())
             continue;
-        if (m_endpoint.empty())
+        if (endpoint.empty())
             co_return co_await finish(attempt_outcome::not_run);
-        ++m_core.m_plain_calls[m_endpoint];
-        const auto end = co_await attempt();
-        if (--m_core.m_plain_calls[m_endpoint] == 0)
-            m_core.m_plain_calls.erase(m_endpoint);
-        m_channel.reset();
-        m_tried_endpoints.insert(m_endpoint);
+        start_attempt(endpoint);
+        const auto end = co_await finish_attempts();
         if (m_client_disconnected)
             co_return log_end("caller_left");
         if (end == attempt_outcome::answered || !may_retry(end))
@@ -107,6 +121,89 @@
     }
 }
 
+void plain_session::start_attempt(const std::string& endpoint)
+{
+    const auto* record = m_core.find_endpoint(endpoint);
+    auto& attempt =
+        *m_attempts.emplace_back(std::make_unique<plain_attempt>(m_core.m_answer_memory));
+    attempt.m_number = ++m_attempt_count;
+    attempt.m_run = {endpoint, record->m_started_ms, record->m_address};
+    // A faulty endpoint may write its refusal of this call again on the connection of that refusal.
+    attempt.m_may_reuse = !m_tried_endpoints.contains(endpoint);
+    m_endpoint = endpoint;
+    m_tried_endpoints.insert(endpoint);
+    ++m_core.m_plain_calls[endpoint];
+    asio::co_spawn(
+        m_exchange.executor(), run_attempt(attempt),
+        [this, &attempt](const std::exception_ptr& failure, attempt_outcome outcome)
+        {
+            attempt.m_failure = failure;
+            attempt.m_outcome = outcome;
+            m_attempt_timer.cancel();
+        });
+}
+
+asio::awaitable<plain_session::attempt_outcome> plain_session::finish_attempts()
+{
+    const auto now = steady::now();
+    m_second_attempt_at = now + (m_latest_answer - now) * second_attempt_percent / 100;
+    auto end = attempt_outcome::unknown;
+    std::exception_ptr failure;
+    while (!m_attempts.empty())
+    {
+        const auto ended = std::find_if(
+            m_attempts.begin(), m_attempts.end(),
+            [](const auto& attempt) { return attempt->m_outcome.has_value(); });
+        if (ended == m_attempts.end())
+        {
+            m_attempt_timer.expires_at(m_second_attempt_at);
+            const auto [cancelled] = co_await m_attempt_timer.async_wait(use_tuple);
+            if (!cancelled)
+                start_second_attempt();
+            continue;
+        }
+        if ((*ended)->m_failure)
+            failure = (*ended)->m_failure;
+        const bool superseded = (*ended)->m_closed;
+        const auto outcome = remove_attempt(static_cast<std::size_t>(ended - m_attempts.begin()));
+        if (!superseded)
+            end = outcome;
+        if (end == attempt_outcome::answered || failure)
+            close_attempts();
+    }
+    if (failure)
+        std::rethrow_exception(failure);
+    co_return end;
+}
+
+void plain_session::start_second_attempt()
+{
+    m_second_attempt_at = accepted_call::time_point::max();
+    if (m_ended || m_client_disconnected || !idempotent() || m_attempts.size() != 1 ||
+        m_attempt_count >= max_attempts || m_history.count() >= m_accepted.m_route.m_max_attempts)
+        return;
+    const auto endpoint = m_core.choose_endpoint(m_accepted.m_service, m_tried_endpoints);
+    if (endpoint.empty() || !m_core.try_retry(m_accepted.m_service))
+        return;
+    start_attempt(endpoint);
+}
+
+plain_session::attempt_outcome plain_session::remove_attempt(std::size_t index)
+{
+    const auto attempt = std::move(m_attempts[index]);
+    m_attempts.erase(m_attempts.begin() + static_cast<std::ptrdiff_t>(index));
+    const auto calls = m_core.m_plain_calls.find(attempt->m_run.m_endpoint);
+    if (--calls->second == 0)
+        m_core.m_plain_calls.erase(calls);
+    if (attempt->m_response && !attempt->m_closed)
+    {
+        m_endpoint = attempt->m_run.m_endpoint;
+        m_share.hold(attempt->m_response->m_body.size());
+        m_last_response = std::move(attempt->m_response);
+    }
+    return *attempt->m_outcome;
+}
+
 asio::awaitable<bool> plain_session::wait_until_work_is_wanted()
 {
     const auto wanted = m_core.work_wanted_at(m_accepted.m_service);
@@ -135,66 +232,54 @@
            m_core.try_retry(m_accepted.m_service);
 }
 
-asio::awaitable<plain_session::attempt_outcome> plain_session::attempt()
+asio::awaitable<plain_session::attempt_outcome> plain_session::run_attempt(plain_attempt& attempt)
 {
-    ++m_attempt_count;
-    const auto now = steady::now();
-    const auto* record = m_core.find_endpoint(m_endpoint);
-    const auto address = record->m_address;
-    m_attempt_deadline = m_accepted.m_end - response_margin;
-    // An idempotent call keeps 2/5 of the remaining time for further attempts.
-    if (idempotent() && m_history.count() + 1 < m_accepted.m_route.m_max_attempts)
-        m_attempt_deadline = std::min(m_attempt_deadline, now + (m_attempt_deadline - now) * 3 / 5);
-    // A faulty endpoint may write its refusal of this call again on the connection of that refusal.
-    if (!m_tried_endpoints.contains(m_endpoint))
+    if (stopped(attempt))
+        co_return attempt_outcome::not_run;
+    if (attempt.m_may_reuse)
     {
-        m_channel = m_core.m_channels.take(
-            address, idempotent() ? max_idle_idempotent : max_idle_non_idempotent, now);
+        attempt.m_channel = m_core.m_channels.take(
+            attempt.m_run.m_address, idempotent() ? max_idle_idempotent : max_idle_non_idempotent,
+            steady::now());
     }
-    const bool reused = m_channel != nullptr;
+    const bool reused = attempt.m_channel != nullptr;
     bool connection_stale = false;
-    auto end = co_await send_and_receive(reused, connection_stale);
+    auto end = co_await send_and_receive(attempt, reused, connection_stale);
     // If the pooled connection was closed, sends an idempotent call again on a new connection. The
     // endpoint may have received the first one, so this counts as a retry.
-    if (connection_stale && idempotent() && !m_client_disconnected && !m_ended &&
-        steady::now() < m_attempt_deadline && m_core.try_retry(m_accepted.m_service))
-    {
-        m_channel.reset();
-        end = co_await send_and_receive(false, connection_stale);
-    }
+    if (connection_stale && idempotent() && !stopped(attempt) && steady::now() < m_latest_answer &&
+        m_core.try_retry(m_accepted.m_service))
+        end = co_await send_and_receive(attempt, false, connection_stale);
     co_return end;
 }
 
 asio::awaitable<plain_session::attempt_outcome>
-plain_session::send_and_receive(bool reused, bool& connection_stale)
+plain_session::send_and_receive(plain_attempt& attempt, bool reused, bool& connection_stale)
 {
     connection_stale = false;
-    const auto* record = m_core.find_endpoint(m_endpoint);
-    if (record == nullptr)
+    const auto& run = attempt.m_run;
+    if (m_core.find_endpoint(run.m_endpoint) == nullptr)
         co_return attempt_outcome::not_run;
-    // The record may be removed while the connection is opened.
-    const auto started_ms = record->m_started_ms;
-    const endpoint_run run{m_endpoint, started_ms, record->m_address};
     call_target target;
-    target.m_endpoint = m_endpoint;
-    target.m_address = record->m_address;
+    target.m_endpoint = run.m_endpoint;
+    target.m_address = run.m_address;
     target.m_account = m_accepted.m_account;
     if (!reused)
     {
-        m_channel = m_core.m_channels.create();
-        const auto status = co_await m_channel->connect(
-            target.m_address, std::min(m_attempt_deadline, steady::now() + connect_deadline));
+        attempt.m_channel = m_core.m_channels.create();
+        const auto status = co_await attempt.m_channel->connect(
+            target.m_address, std::min(m_latest_answer, steady::now() + connect_deadline));
         if (!status.ok())
         {
-            if (!m_client_disconnected && !m_ended)
-                m_core.suspect_after(m_endpoint, status);
+            if (!stopped(attempt))
+                m_core.suspect_after(run.m_endpoint, status);
             co_return attempt_outcome::not_run;
         }
     }
     // The endpoint may have said meanwhile that it wants no more requests.
-    if (!m_core.may_send(m_endpoint))
+    if (!m_core.may_send(run.m_endpoint))
     {
-        m_core.m_channels.put(std::move(m_channel), steady::now());
+        m_core.m_channels.put(std::move(attempt.m_channel), steady::now());
         co_return attempt_outcome::not_run;
     }
     target.m_time_left = m_accepted.time_left(steady::now());
@@ -203,26 +288,27 @@
     m_history.on_sent(run);
     log_event(log_level::info, "call_sent")
         .with("request", m_accepted.m_call.m_id)
-        .with("attempt", m_attempt_count)
-        .with("endpoint", m_endpoint)
+        .with("attempt", attempt.m_number)
+        .with("endpoint", run.m_endpoint)
         .with("address", target.m_address)
         .with("kept_connection", reused)
         .with("time_left_ms", target.m_time_left.count());
-    const auto sent = co_await m_channel->send(request, m_attempt_deadline);
+    const auto sent = co_await attempt.m_channel->send(request, m_latest_answer);
     if (!sent.ok())
     {
         connection_stale = reused;
-        co_return break_off_attempt(message_of(sent));
+        co_return break_off_attempt(attempt, message_of(sent));
     }
     for (int mismatched = 0; mismatched <= max_mismatched_responses; ++mismatched)
     {
-        auto response = co_await m_channel->read_head(m_attempt_deadline);
+        auto response = co_await attempt.m_channel->read_head(m_latest_answer);
         if (!response.ok())
         {
             connection_stale = reused && kind_of(response.status()) == failure_kind::endpoint_lost;
-            co_return break_off_attempt(message_of(response.status()));
+            co_return break_off_attempt(attempt, message_of(response.status()));
         }
-        m_core.note_answer(m_endpoint, started_ms, response->m_status, response->m_fields);
+        m_core.note_answer(
+            run.m_endpoint, run.m_started_ms, response->m_status, response->m_fields);
         auto head = m_core.m_protocol.read_answer(
             m_accepted.m_call, response->m_status, response->m_fields);
         const bool success = head.m_status < 300;
@@ -231,53 +317,52 @@
         // A body that is not passed on is read so that the connection can be reused.
         absl::Status read;
         if (passed_on)
-            read = co_await read_whole_body(response->m_body);
+            read = co_await read_whole_body(attempt, response->m_body);
         else
-            read = co_await m_channel->skip_body(m_attempt_deadline);
+            read = co_await attempt.m_channel->skip_body(m_latest_answer);
         if (!read.ok())
-            co_return break_off_attempt(message_of(read));
+            co_return break_off_attempt(attempt, message_of(read));
         // A late response to another call can arrive on a pooled connection; skips it.
         if (!head.m_matches_call)
             continue;
-        m_core.m_channels.put(std::move(m_channel), steady::now());
+        m_core.m_channels.put(std::move(attempt.m_channel), steady::now());
         if (head.m_not_run)
         {
             m_history.on_refused(run, true);
             co_return attempt_outcome::not_run;
         }
         if (!passed_on)
-            co_return break_off_attempt("a success without a signature");
-        m_last_response =
+            co_return break_off_attempt(attempt, "a success without a signature");
+        attempt.m_response =
             http_response{head.m_status, std::move(head.m_fields), std::move(response->m_body)};
-        m_share.hold(m_last_response->m_body.size());
         co_return head.m_status < 500 ? attempt_outcome::answered : attempt_outcome::failed;
     }
-    co_return break_off_attempt("responses to other requests");
+    co_return break_off_attempt(attempt, "responses to other requests");
 }
 
-asio::awaitable<absl::Status> plain_session::read_whole_body(std::string& body)
+asio::awaitable<absl::Status>
+plain_session::read_whole_body(plain_attempt& attempt, std::string& body)
 {
-    const auto earlier = m_last_response ? m_last_response->m_body.size() : 0;
     absl::StatusOr<bool> more = true;
     while (more.ok() && *more)
     {
-        more = co_await m_channel->read_body(
-            body, m_attempt_deadline,
-            std::min(endpoint_channel::max_body_bytes, m_share.max_bytes()));
-        m_share.hold(earlier + body.size());
+        more = co_await attempt.m_channel->read_body(
+            body, m_latest_answer,
+            std::min(endpoint_channel::max_body_bytes, attempt.m_share.max_bytes()));
+        attempt.m_share.hold(body.size());
     }
-    if (!more.ok())
-        m_share.hold(earlier);
     co_return more.status();
 }
 
-plain_session::attempt_outcome plain_session::break_off_attempt(std::string_view reason) const
+plain_session::attempt_outcome
+plain_session::break_off_attempt(const plain_attempt& attempt, std::string_view reason) const
 {
     log_event(log_level::info, "call_broken_off")
         .with("request", m_accepted.m_call.m_id)
-        .with("attempt", m_attempt_count)
-        .with("endpoint", m_endpoint)
+        .with("attempt", attempt.m_number)
+        .with("endpoint", attempt.m_run.m_endpoint)
         .with("reason", reason)
+        .with("superseded", attempt.m_closed)
         .with("caller_left", m_client_disconnected);
     return attempt_outcome::unknown;
 }
@@ -298,7 +383,7 @@
             m_accepted.m_call, 503, m_core.retry_after(m_accepted.m_service));
     else
     {
-        const bool deadline_passed = steady::now() >= m_attempt_deadline;
+        const bool deadline_passed = steady::now() >= m_latest_answer;
         response = m_core.m_protocol.refusal(m_accepted.m_call, deadline_passed ? 504 : 502, {});
     }
     std::ignore = co_await m_exchange.respond(std::move(response));
--- a/src/plain_session.hpp
+++ b/src/plain_session.hpp
@@ -3,10 +3,10 @@
 
 #include "accepted_call.hpp"
 #include "open_session.hpp"
+#include "plain_attempt.hpp"
 #include "router_core.hpp"
 
 #include <fulmaryard/answer_head.hpp>
-#include <fulmaryard/answer_share.hpp>
 #include <fulmaryard/http_exchange.hpp>
 #include <fulmaryard/run_history.hpp>
 
@@ -19,13 +19,15 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fulmaryard
 {
 
 /// Processes one call to a plain service, whose endpoints return a complete response instead of an
 /// event stream: sends the call to an endpoint, retries it and responds to the client. A call that
-/// is not idempotent is retried only if no endpoint can have run it.
+/// is not idempotent is retried only if no endpoint can have run it. An idempotent call that is not
+/// answered for long is sent to a second endpoint as well, and the first answer counts.
 class plain_session : public open_session
 {
 public:
@@ -40,28 +42,40 @@
     void end() override;
 
 private:
-    enum class attempt_outcome
-    {
-        answered, ///< The endpoint responded with a status below 500.
-        not_run,  ///< The endpoint was not reached, or states that it did not run the call.
-        unknown,  ///< The endpoint may have run the call.
-        failed    ///< The endpoint ran the call and responded with a status of 500 or above.
-    };
-
-    /// Sends the call to `m_endpoint`. If the pooled connection was stale, sends an idempotent call
-    /// a second time on a new connection.
-    boost::asio::awaitable<attempt_outcome> attempt();
-
-    /// Sends the call once and reads the response, on the pooled connection in `m_channel` if
+    using attempt_outcome = plain_attempt::outcome;
+
+    /// Starts an attempt at `endpoint`, which is listed.
+    void start_attempt(const std::string& endpoint);
+
+    /// Waits until an endpoint has answered or all attempts have ended, and starts a second attempt
+    /// when the first has not been answered for long.
+    boost::asio::awaitable<attempt_outcome> finish_attempts();
+
+    /// Starts a second attempt if the limits permit it and another endpoint is usable.
+    void start_second_attempt();
+
+    /// Removes an attempt that has ended; returns how.
+    attempt_outcome remove_attempt(std::size_t index);
+
+    /// Sends the call to the endpoint of the attempt. If the pooled connection was stale, sends an
+    /// idempotent call a second time on a new connection.
+    boost::asio::awaitable<attempt_outcome> run_attempt(plain_attempt& attempt);
+
+    /// Sends the call once and reads the response, on the pooled connection of the attempt if
     /// `reused`, otherwise on a new one. Sets `connection_stale` if a pooled connection turned out
     /// to be closed.
-    boost::asio::awaitable<attempt_outcome> send_and_receive(bool reused, bool& connection_stale);
+    boost::asio::awaitable<attempt_outcome>
+    send_and_receive(plain_attempt& attempt, bool reused, bool& connection_stale);
 
     /// Reads a body that is passed on to the caller.
-    boost::asio::awaitable<absl::Status> read_whole_body(std::string& body);
+    boost::asio::awaitable<absl::Status> read_whole_body(plain_attempt& attempt, std::string& body);
 
     /// Logs why an attempt ended without an answer, which leaves open whether the call ran.
-    attempt_outcome break_off_attempt(std::string_view reason) const;
+    attempt_outcome break_off_attempt(const plain_attempt& attempt, std::string_view reason) const;
+
+    /// Whether an attempt should not go on.
+    bool stopped(const plain_attempt& attempt) const;
+    void close_attempts();
 
     /// Whether another attempt is allowed after one that ended with `end`. Takes a retry from the
     /// budget of the service unless the call has not been sent yet.
@@ -80,12 +94,13 @@
     router_core& m_core;
     http_exchange& m_exchange;
     accepted_call m_accepted;
-    std::string m_endpoint;                  ///< Id of the endpoint of the current attempt.
+    std::string m_endpoint;                  ///< Id of the endpoint of the last attempt.
     std::set<std::string> m_tried_endpoints; ///< Ids of the endpoints of earlier attempts.
-    std::unique_ptr<endpoint_channel> m_channel;
-    std::optional<http_response> m_last_response; ///< The last response of an endpoint.
-    answer_share m_share;                         ///< For the bodies of responses.
-    accepted_call::time_point m_attempt_deadline;
+    std::vector<std::unique_ptr<plain_attempt>> m_attempts; ///< Those that have not been removed.
+    std::optional<http_response> m_last_response;           ///< The last response of an endpoint.
+    answer_share m_share;                                   ///< For its body.
+    accepted_call::time_point m_latest_answer;              ///< In time to reach the caller.
+    accepted_call::time_point m_second_attempt_at;          ///< When a second attempt may start.
     std::uint32_t m_send_count{0};    ///< How often the call was sent to an endpoint.
     std::uint32_t m_attempt_count{0}; ///< Attempts, including those that failed to connect.
     run_history m_history;            ///< Endpoints that the call was sent to.
@@ -93,6 +108,8 @@
     bool m_ended{false}; ///< The process exits.
     /// Runs while the call waits for an endpoint that wants work.
     boost::asio::steady_timer m_wait_timer;
+    /// Expires when a second attempt may start; cancelled when an attempt ends.
+    boost::asio::steady_timer m_attempt_timer;
 };
 
 } // namespace fulmaryard
--- a/tests/process/silent_endpoints_test.cpp
+++ b/tests/process/silent_endpoints_test.cpp
@@ -274,4 +274,56 @@
     CHECK(endpoints.m_calls == 1);
 }
 
+TEST_CASE("a call whose endpoint is silent for a while and answers in time")
+{
+    // Guards against a call that is given up for an endpoint that refuses it.
+    scripted_endpoint::reply other;
+    int endpoint_count = 3;
+    SUBCASE("while the others refuse it")
+    {
+        other = {refusal("call-1")};
+    }
+    SUBCASE("while the others are silent as well") {}
+    SUBCASE("while the others break it off")
+    {
+        other = {"", true};
+    }
+    SUBCASE("while the others fail it")
+    {
+        other = {"HTTP/1.1 500 Internal Server Error\r\nFulmaryard-Attempt-Id: call-1\r\n"
+                 "Fulmaryard-Response-Signature: s\r\nContent-Length: 0\r\n\r\n"};
+    }
+    SUBCASE("while there is no other")
+    {
+        endpoint_count = 1;
+    }
+    std::atomic<int> calls{0};
+    const auto script = [&](const std::string& call, int) -> scripted_endpoint::reply
+    {
+        if (calls++ > 0)
+            return other;
+        return {
+            "", false, 1300ms,
+            fmt::format(
+                "HTTP/1.1 200 OK\r\nFulmaryard-Attempt-Id: {}\r\n"
+                "Fulmaryard-Response-Signature: s\r\nContent-Length: 4\r\n\r\ndone",
+                call)};
+    };
+    std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    router_system system(0, 0);
+    for (int i = 0; i < endpoint_count; ++i)
+    {
+        endpoints.push_back(std::make_unique<scripted_endpoint>(script));
+        system.add_endpoint(fmt::format("plain-{}", i), *endpoints.back(), std::nullopt);
+    }
+    system.start_router("router-1", "retry_slack: 100000\n");
+    auto request = router_system::make_request("GET", "/look/1", "call-1");
+    request.m_fields[1].m_value = "1600";
+    const auto response = test_client(system.address("router-1")).send(request);
+    REQUIRE(response.ok());
+    CHECK(response->m_status == 200);
+    CHECK(response->m_body == "done");
+    CHECK(calls <= route_attempts);
+}
+
 TEST_SUITE_END();
