Streams: search only what was read for the end of an event

Each read of a stream searched all that had arrived of the current event for its end, twice and byte by byte: quadratic work in the length of an event. A stream of 400 events of 64 KiB got 115 to 127 of them through in its 8 s, and ended with a closed connection; an endpoint whose event never ends keeps the router's only thread busy, up to 256 KiB for each of its streams, at the cost of everybody else on it.

--- a/src/stream_attempts.cpp
+++ b/src/stream_attempts.cpp
@@ -46,15 +46,18 @@
     std::optional<std::uint64_t> m_last_id;
 };
 
-// Returns the size in bytes of the complete events at the start of `text`.
-std::size_t complete_events_size(std::string_view text)
+/// Returns the size in bytes of the complete events at the start of `text`, none of which ends
+/// within the first `searched` bytes.
+std::size_t complete_events_size(std::string_view text, std::size_t searched)
 {
     std::size_t end = 0;
     for (const std::string_view separator : {"\n\n", "\r\n\r\n"})
     {
-        const auto at = text.rfind(separator);
+        // A separator may begin in what was searched before.
+        const auto begin = searched - std::min(searched, separator.size() - 1);
+        const auto at = text.substr(begin).rfind(separator);
         if (at != std::string_view::npos)
-            end = std::max(end, at + separator.size());
+            end = std::max(end, begin + at + separator.size());
     }
     return end;
 }
@@ -300,13 +303,15 @@
 stream_session::relay_events(stream_attempt& attempt, answer_head head)
 {
     std::string text;
+    std::size_t searched = 0;
     for (absl::StatusOr<bool> more = true; *more;)
     {
         more = co_await attempt.m_channel->read_body(
             text, m_accepted.m_end, std::min(max_event_bytes, attempt.m_share.max_bytes()));
         if (attempt.m_closed)
             co_return attempt_outcome::broken;
-        const auto size = complete_events_size(text);
+        // Searching all of a long event after each read would take quadratic time.
+        const auto size = complete_events_size(text, searched);
         const auto events = select_new_events(
             m_core.m_protocol, std::string_view(text).substr(0, size), m_last_event_id);
         const bool ended = more.ok() && !*more;
@@ -318,6 +323,7 @@
             m_event_count += events.m_numbered;
             count_attempt_events(attempt, events.m_numbered, false);
             text.erase(0, size);
+            searched = text.size();
             attempt.m_share.hold(text.size() + events.m_text.size());
             if (events.m_numbered > 0)
                 record_progress(steady::now());
--- a/tests/process/answers_without_end_test.cpp
+++ b/tests/process/answers_without_end_test.cpp
@@ -134,6 +134,37 @@
     }
 }
 
+TEST_CASE("answers without end leave time for the calls of others")
+{
+    // Guards against a router that is kept busy by an event that never ends.
+    const std::string close = "Connection: close\r\n\r\n";
+    const auto script = [&](const std::string& call, int)
+    { return endless_answer(answer_head(call) + close, "x"); };
+    // Each takes eight streams at once.
+    constexpr int stream_callers = 40;
+    std::vector<std::unique_ptr<scripted_endpoint>> faulty_models;
+    scripted_endpoint faulty(script);
+    scripted_endpoint sound([](const std::string& call, int) { return whole_answer(call); });
+    router_system system(0, 0);
+    for (int i = 0; i < stream_callers / 8; ++i)
+    {
+        faulty_models.push_back(std::make_unique<scripted_endpoint>(script));
+        system.add_endpoint(
+            fmt::format("faulty-model-{}", i), *faulty_models.back(), layer_range{0, 12});
+    }
+    system.add_endpoint("faulty", faulty, std::nullopt);
+    system.add_endpoint("sound", sound, std::nullopt);
+    system.start_router("router-1");
+    caller_load streams{3s};
+    caller_load calls{800ms};
+    std::thread running_streams(
+        [&] { streams.run(system.address("router-1"), "/chat/1", stream_callers, 4); });
+    calls.run(system.address("router-1"), "/look/1", 30, 5);
+    running_streams.join();
+    CHECK(calls.m_unanswered.load() == 0);
+    CHECK(calls.m_late.load() == 0);
+}
+
 TEST_CASE("answers without end leave memory for the answers of other callers")
 {
     // Guards against a router that runs out of memory, each answer within its limit.
--- a/tests/process/silent_endpoints_test.cpp
+++ b/tests/process/silent_endpoints_test.cpp
@@ -238,9 +238,15 @@
 TEST_CASE("a stream whose caller does not read for a while")
 {
     // Guards against a slow caller that is taken for a silent endpoint.
-    constexpr int event_count = 10'000;
-    constexpr std::size_t event_bytes = 2 * 1024;
-    const auto answer = [](const std::string& call) -> scripted_endpoint::reply
+    int event_count = 10'000;
+    std::size_t event_bytes = 2 * 1024;
+    SUBCASE("and whose events are short") {}
+    SUBCASE("and whose events are long")
+    {
+        event_count = 400;
+        event_bytes = 64 * 1024;
+    }
+    const auto answer = [&](const std::string& call) -> scripted_endpoint::reply
     {
         std::string text = stream_head(call);
         for (int id = 1; id <= event_count; ++id)
