Streams: a takeover ends the running attempt only with a new event

A takeover whose answer ended inside an event, or without one, led for a moment, which closed the sound attempt beside it; then its end was found bad, and the caller got 502 or a closed connection. An answer that ends without a new event counts only when no other attempt runs. Unnumbered events wait while two attempts run: both could be writing to the caller. An attempt that was still connecting asks again whether the route allows one more endpoint, as the other may have been sent meanwhile.

process.silent_endpoints, "while the others end within an event" and "before an event": six of six combinations failed on, none now. The other two changes have no test but that of `run_history::count_with`.

--- a/include/fulmaryard/run_history.hpp
+++ b/include/fulmaryard/run_history.hpp
@@ -31,6 +31,9 @@
     /// Number of endpoints that count toward the limit of the route.
     std::uint32_t count() const;
 
+    /// The same if the request were also sent to `run`.
+    std::uint32_t count_with(const endpoint_run& run) const;
+
     /// Whether an endpoint may have begun to execute the request, one that has ended included.
     bool may_have_run() const;
 
--- a/src/run_history.cpp
+++ b/src/run_history.cpp
@@ -30,6 +30,12 @@
         m_sends.begin(), m_sends.end(), [](const auto& entry) { return entry.second.counts(); }));
 }
 
+std::uint32_t run_history::count_with(const endpoint_run& run) const
+{
+    const auto found = m_sends.find(run);
+    return count() + (found != m_sends.end() && found->second.counts() ? 0 : 1);
+}
+
 bool run_history::may_have_run() const
 {
     return std::any_of(
--- a/src/stream_attempts.cpp
+++ b/src/stream_attempts.cpp
@@ -184,6 +184,12 @@
             m_core.m_channels.put(std::move(attempt.m_channel), steady::now());
             co_return attempt_outcome::unreachable;
         }
+        // The other attempt may have been sent since this one started.
+        if (m_history.count_with(attempt.m_run) > m_accepted.m_route.m_max_attempts)
+        {
+            m_core.m_channels.put(std::move(attempt.m_channel), steady::now());
+            co_return attempt_outcome::unreachable;
+        }
         m_history.on_sent(attempt.m_run);
         auto status = co_await attempt.m_channel->send(request, m_accepted.m_end);
         if (status.ok())
@@ -314,10 +320,14 @@
         const auto size = complete_events_size(text, searched);
         const auto events = select_new_events(
             m_core.m_protocol, std::string_view(text).substr(0, size), m_last_event_id);
-        const bool ended = more.ok() && !*more;
-        if (events.m_numbered > 0 || ended)
+        const bool began = attempt.m_events + events.m_numbered > 0;
+        const bool complete = more.ok() && !*more && size == text.size() &&
+                              (began || !attempt.m_channel->ends_with_connection());
+        const bool alone = !others_run(attempt);
+        if (events.m_numbered > 0 || (complete && (alone || &attempt == m_leader)))
             lead(attempt);
-        if (&attempt == m_leader)
+        // Comments wait while two attempts run, so that only one of them writes to the caller.
+        if (&attempt == m_leader && (alone || events.m_numbered > 0 || complete))
         {
             m_last_event_id = events.m_last_id;
             m_event_count += events.m_numbered;
@@ -337,6 +347,8 @@
         if (!more.ok())
             co_return break_off_attempt(attempt, message_of(more.status()));
     }
+    if (&attempt != m_leader)
+        co_return break_off_attempt(attempt, "the answer ends without a new event");
     // A response without a length may have been truncated within an event.
     if (!text.empty())
         co_return break_off_attempt(attempt, "the answer ends within an event");
--- a/tests/process/silent_endpoints_test.cpp
+++ b/tests/process/silent_endpoints_test.cpp
@@ -41,6 +41,15 @@
         call);
 }
 
+/// Head of an answer that ends with its connection.
+std::string unframed_head(const std::string& call)
+{
+    return fmt::format(
+        "HTTP/1.1 200 OK\r\nFulmaryard-Attempt-Id: {}\r\nFulmaryard-Response-Signature: s\r\n"
+        "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+        call);
+}
+
 std::string refusal(const std::string& call)
 {
     return fmt::format(
@@ -84,7 +93,7 @@
 
     scripted_endpoint::reply next_reply(const std::string& call)
     {
-        const auto reply = m_calls++ == 0 ? m_silent(call) : m_others(call);
+        auto reply = m_calls++ == 0 ? m_silent(call) : m_others(call);
         m_runs += reply.m_bytes == refusal(call) ? 0 : 1;
         return reply;
     }
@@ -141,6 +150,18 @@
             return {stream_head(call), true};
         };
     }
+    SUBCASE("while the others end within an event")
+    {
+        others = [](const std::string& call) -> scripted_endpoint::reply {
+            return {unframed_head(call) + "id: 1\nda", true};
+        };
+    }
+    SUBCASE("while the others end before an event")
+    {
+        others = [](const std::string& call) -> scripted_endpoint::reply {
+            return {unframed_head(call), true};
+        };
+    }
     SUBCASE("while the others are silent as well")
     {
         others = [](const std::string&) { return scripted_endpoint::reply{}; };
@@ -212,6 +233,7 @@
     system.start_router("router-1", "retry_slack: 100000\n");
     std::vector<std::unique_ptr<received_stream>> received(streams);
     std::vector<std::jthread> callers;
+    callers.reserve(streams);
     for (int i = 0; i < streams; ++i)
     {
         callers.emplace_back(
--- a/tests/unit/run_history_test.cpp
+++ b/tests/unit/run_history_test.cpp
@@ -23,6 +23,8 @@
     {
         history.on_sent(one);
         CHECK(history.count() == 1);
+        CHECK(history.count_with(one) == 1);
+        CHECK(history.count_with(other) == 2);
         history.on_sent(other);
         CHECK(history.count() == 2);
         CHECK(history.counted() == std::vector{one, other});
