Calls: look for a second endpoint again while none is free

Found by the review. The second attempt of a call had one moment to start: without a free endpoint or a retry at three fifths of its time, or if it was refused at once, the call waited for the silent first one until its deadline. Not shown by a test.

--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -39,6 +39,9 @@
 // as well. The rest is enough for a typical call.
 constexpr int second_attempt_percent = 60;
 
+// Time between two tries to start one, while no endpoint is free or after one has refused the call.
+constexpr std::chrono::milliseconds second_attempt_interval{50};
+
 // Responses to other calls that one attempt skips on a pooled connection.
 constexpr int max_mismatched_responses = 3;
 
@@ -178,9 +181,14 @@
 
 void plain_session::start_second_attempt()
 {
-    m_second_attempt_at = accepted_call::time_point::max();
-    if (m_ended || m_client_disconnected || !idempotent() || m_attempts.size() != 1 ||
-        m_attempt_count >= max_attempts || m_history.count() >= m_accepted.m_route.m_max_attempts)
+    if (m_ended || m_client_disconnected || !idempotent() || m_attempt_count >= max_attempts ||
+        m_history.count() >= m_accepted.m_route.m_max_attempts)
+    {
+        m_second_attempt_at = accepted_call::time_point::max();
+        return;
+    }
+    m_second_attempt_at = steady::now() + second_attempt_interval;
+    if (m_attempts.size() != 1)
         return;
     const auto endpoint = m_core.choose_endpoint(m_accepted.m_service, m_tried_endpoints);
     if (endpoint.empty() || !m_core.try_retry(m_accepted.m_service))
@@ -282,6 +290,12 @@
         m_core.m_channels.put(std::move(attempt.m_channel), steady::now());
         co_return attempt_outcome::not_run;
     }
+    // The other attempt may have been sent since this one started.
+    if (m_history.count_with(run) > m_accepted.m_route.m_max_attempts)
+    {
+        m_core.m_channels.put(std::move(attempt.m_channel), steady::now());
+        co_return attempt_outcome::not_run;
+    }
     target.m_time_left = m_accepted.time_left(steady::now());
     const auto request = m_core.m_protocol.write_call(m_accepted.m_call, target);
     ++m_send_count;
