Streams: refused takeovers do not use up the attempts

A takeover may not begin at an endpoint that refused this request, and leaves one of the six attempts for the case that the running one breaks off. A crash counts although another attempt ended later, and a complete response stays one. Not shown by tests.

--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -141,8 +141,8 @@
 {
     if (!running() || m_is_sending || taking_over() || now < m_next_takeover ||
         now + response_margin >= m_accepted.m_end || !m_accepted.m_route.m_resumable ||
-        m_attempt_count >= max_attempts || !within_route_limit())
-        return false;
+        m_attempt_count + 1 >= max_attempts || !within_route_limit())
+        return false; // One attempt is kept for the case that the running one breaks off.
     // If this process was held up, the endpoint is not silent: its events wait to be read.
     return !m_leader->m_channel->has_unread_bytes();
 }
@@ -156,6 +156,7 @@
     if (m_core.m_quarantine.quarantined(m_accepted.m_call.m_shared_parts, now))
         return;
     auto avoided = m_excluded_first_endpoints;
+    avoided.insert(m_refused_by.begin(), m_refused_by.end());
     avoided.insert(m_leader->m_run.m_endpoint);
     auto path = find_free_path(avoided);
     if (path.empty() || !m_core.try_retry(m_accepted.m_service))
@@ -203,8 +204,11 @@
 
 asio::awaitable<stream_session::attempt_outcome> stream_session::finish_attempts()
 {
+    const auto is_final = [](attempt_outcome outcome)
+    { return outcome == attempt_outcome::complete || outcome == attempt_outcome::error_relayed; };
     auto end = attempt_outcome::broken;
     std::exception_ptr failure;
+    m_crashed = false;
     while (!m_attempts.empty())
     {
         const auto ended = std::find_if(
@@ -221,11 +225,9 @@
             failure = attempt.m_failure;
             close_attempts();
         }
-        else if (!attempt.m_closed)
-        {
+        else if (!attempt.m_closed && !is_final(end))
             end = *attempt.m_outcome;
-            m_crashed = attempt.m_crashed;
-        }
+        m_crashed = m_crashed || attempt.m_crashed;
         remove_attempt(static_cast<std::size_t>(ended - m_attempts.begin()));
     }
     if (failure)
