Streams: an answered stream is not counted as left by its caller

Cause: since attempts run beside the session, the end of an attempt reaches the session in a later pass of the event loop. A caller that closes its connection after the last chunk can be noticed in between; the session then looked at the caller first, and dropped the outcome of the attempt that the disconnect had closed.

Callers had their whole answer; the metric and the log were wrong. A final outcome now counts first, also of a closed attempt: only the leading attempt has one.

Test: of 100 streams whose callers disconnect after the last event some were counted as left before; none now.

--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -225,7 +225,7 @@
             failure = attempt.m_failure;
             close_attempts();
         }
-        else if (!attempt.m_closed && !is_final(end))
+        else if (is_final(*attempt.m_outcome) || (!attempt.m_closed && !is_final(end)))
             end = *attempt.m_outcome;
         m_crashed = m_crashed || attempt.m_crashed;
         remove_attempt(static_cast<std::size_t>(ended - m_attempts.begin()));
@@ -404,16 +404,17 @@
         }
         start_attempt(std::move(path));
         const auto end = co_await finish_attempts();
+        // A caller may disconnect as soon as it has the whole answer.
+        if (end == attempt_outcome::complete)
+            co_return log_end("answered", "");
+        if (end == attempt_outcome::error_relayed)
+            co_return log_end("failed_by_endpoint", "");
         const bool was_sent = end == attempt_outcome::broken || end == attempt_outcome::unreachable;
         if (was_sent && m_accepted.m_route.m_resumable && !m_client_disconnected && !m_ended &&
             !within_route_limit())
             co_await check_ended_runs();
         if (m_client_disconnected)
             co_return log_end("caller_left", "during an attempt");
-        if (end == attempt_outcome::complete)
-            co_return log_end("answered", "");
-        if (end == attempt_outcome::error_relayed)
-            co_return log_end("failed_by_endpoint", "");
         const auto denial = retry_denial(end);
         if (denial.empty())
             continue;
--- a/tests/process/router_test.cpp
+++ b/tests/process/router_test.cpp
@@ -174,6 +174,31 @@
         500ms));
 }
 
+TEST_CASE("outcome of streams whose callers disconnect after the last event")
+{
+    // Guards against a stream that is counted as left by its caller although it was answered whole.
+    router_system system;
+    system.start_router("router-1");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    constexpr int streams = 100;
+    const test_client client(system.address("router-1"));
+    for (int i = 0; i < streams; ++i)
+    {
+        auto request = router_system::make_request("POST", "/chat/1", fmt::format("short-{}", i));
+        request.m_fields[2].m_value = "10,2";
+        const auto response = client.send(request);
+        REQUIRE(response.ok());
+        REQUIRE(response->m_status == 200);
+    }
+    const auto answered =
+        fmt::format("fulmaryard_router_streams_total{{outcome=\"answered\"}} {}\n", streams + 1);
+    CHECK(wait_until(
+        [&] { return system.metrics("router-1").find(answered) != std::string::npos; }, 1s));
+    CHECK(
+        system.metrics("router-1")
+            .find("fulmaryard_router_streams_total{outcome=\"caller_left\"}") == std::string::npos);
+}
+
 TEST_CASE("a refusal of a request that has run")
 {
     // Guards against reporting "not run" for a request of which an earlier attempt ran.
