Streams: hold an endpoint's error until another endpoint has answered

A stream that may be resumed got 502 when one endpoint answered 500 and the others refused it: the 500 was dropped because the request could be repeated. It is now held, within the memory for answers, and sent if no later attempt gets further. Calls did so already.

Test: process.route_attempts, "a stream that one endpoint fails and the others refuse"; 502 without a body before, the endpoint's 500 now.

--- a/src/stream_attempts.cpp
+++ b/src/stream_attempts.cpp
@@ -262,12 +262,12 @@
 {
     const bool should_retry =
         head.m_status >= 500 && m_accepted.m_route.m_resumable && within_route_limit();
-    const bool passed_on =
-        !head.m_not_run && !m_responded && !should_retry && (head.m_status >= 300 || head.m_signed);
+    const bool is_answer =
+        !head.m_not_run && !m_responded && (head.m_status >= 300 || head.m_signed);
     std::string body;
     // A body that is not passed on is read so that the connection can be reused.
     absl::Status read;
-    if (passed_on)
+    if (is_answer)
         read = co_await read_whole_body(attempt, body);
     else
         read = co_await attempt.m_channel->skip_body(m_accepted.m_end);
@@ -277,11 +277,12 @@
     if (head.m_not_run)
         co_return attempt_outcome::not_run;
     m_excluded_first_endpoints.insert(attempt.m_run.m_endpoint);
-    if (!passed_on || m_responded || attempt.m_closed)
+    if (!is_answer || m_responded || attempt.m_closed)
         co_return attempt_outcome::broken;
     http_response answer{head.m_status, std::move(head.m_fields), std::move(body)};
-    if (others_run(attempt))
+    if (should_retry || others_run(attempt))
     {
+        m_held_share.hold(answer.m_body.size());
         m_held_failure = std::move(answer);
         co_return attempt_outcome::broken;
     }
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -68,7 +68,8 @@
       m_id(core.m_streams->add(*this)),
       m_queue_timer(exchange.executor()),
       m_attempt_timer(exchange.executor(), time_point::max()),
-      m_last_event_id(m_accepted.m_call.m_resume_after)
+      m_last_event_id(m_accepted.m_call.m_resume_after),
+      m_held_share(core.m_answer_memory)
 {
     m_core.m_open_sessions.insert(this);
 }
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -7,6 +7,7 @@
 #include "stream_attempt.hpp"
 
 #include <fulmaryard/answer_head.hpp>
+#include <fulmaryard/answer_share.hpp>
 #include <fulmaryard/http_exchange.hpp>
 #include <fulmaryard/run_history.hpp>
 
@@ -197,6 +198,7 @@
     run_history m_history;                        ///< First endpoints that the request was sent to.
     /// An endpoint's error response, sent if no other attempt is answered.
     std::optional<http_response> m_held_failure;
+    answer_share m_held_share;         ///< For its body.
     std::uint32_t m_attempt_count{0};  ///< All attempts, including those that reached no endpoint.
     bool m_client_disconnected{false}; ///< The caller has disconnected.
     bool m_crashed{false};             ///< The last attempt crashed its first endpoint.
--- a/tests/process/route_attempts_test.cpp
+++ b/tests/process/route_attempts_test.cpp
@@ -1,5 +1,6 @@
 #include "process/router_system.hpp"
 
+#include <atomic>
 #include <vector>
 
 using namespace fulmaryard;
@@ -94,6 +95,37 @@
     CHECK(endpoints.reached("call-1") <= route_attempts);
 }
 
+TEST_CASE("a stream that one endpoint fails and the others refuse")
+{
+    // Guards against an endpoint's own error that its caller does not get, since the request may be
+    // repeated and no other endpoint takes it.
+    std::atomic<int> calls{0};
+    first_endpoints endpoints(
+        [&](const std::string& call, int) -> scripted_endpoint::reply
+        {
+            if (calls++ == 0)
+            {
+                return {fmt::format(
+                    "HTTP/1.1 500 Oops\r\nFulmaryard-Attempt-Id: {}\r\nContent-Length: "
+                    "4\r\n\r\nboom",
+                    call)};
+            }
+            return {fmt::format(
+                "HTTP/1.1 503 Busy\r\nFulmaryard-Attempt-Id: {}\r\nFulmaryard-Not-Executed: "
+                "1\r\nContent-Length: 0\r\n\r\n",
+                call)};
+        });
+    router_system system(0, 0);
+    endpoints.list_at(system);
+    system.start_router("router-1", "retry_slack: 100000\n");
+    const auto response = test_client(system.address("router-1"))
+                              .send(router_system::make_request("POST", "/chat/1", "call-1"));
+    REQUIRE(response.ok());
+    CHECK(response->m_status == 500);
+    CHECK(response->m_body == "boom");
+    CHECK(calls > 1);
+}
+
 TEST_CASE("a request on a kept connection that its endpoint closes as it ends")
 {
     // Guards against a refusal that says "not run" of a request that an endpoint has read.
