--- a/tests/process/answers_without_end_test.cpp
+++ b/tests/process/answers_without_end_test.cpp
@@ -1,6 +1,7 @@
 #include "process/router_system.hpp"
 
 #include <atomic>
+#include <csignal>
 #include <thread>
 
 using namespace fulmaryard;
@@ -85,6 +86,26 @@
             thread.join();
     }
 
+    /// Sends requests until `end`.
+    void run_until(
+        const std::string& address, const std::string& target, int callers, steady::time_point end)
+    {
+        std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(callers));
+        for (int caller = 0; caller < callers; ++caller)
+        {
+            threads.emplace_back(
+                [=, this]
+                {
+                    const test_client client(address);
+                    for (int number = 0; steady::now() < end; ++number)
+                        send(client, target, fmt::format("{}{}-{}", target, caller, number));
+                });
+        }
+        for (auto& thread : threads)
+            thread.join();
+    }
+
 private:
     void send(const test_client& client, const std::string& target, const std::string& id)
     {
@@ -165,6 +186,76 @@
     CHECK(calls.m_late.load() == 0);
 }
 
+TEST_CASE("answers without end at one of several endpoints of a slow instance")
+{
+    // Guards against calls without an answer while a router reads many answers without end.
+    std::string begin = "Connection: close\r\n\r\n";
+    std::string repeated = "x";
+    SUBCASE("without a length") {}
+    SUBCASE("with a huge length")
+    {
+        begin = "Content-Length: 99999999999\r\n\r\n";
+    }
+    SUBCASE("in chunks")
+    {
+        begin = "Transfer-Encoding: chunked\r\n\r\n";
+        repeated = "5\r\nabcde\r\n";
+    }
+    const auto endless = [&](const std::string& call, int)
+    { return endless_answer(answer_head(call) + begin, repeated); };
+    const auto sound = [](scripted_endpoint::reply whole)
+    {
+        whole.m_rest = whole.m_bytes.substr(1);
+        whole.m_bytes.resize(1);
+        whole.m_pause = 90ms;
+        return whole;
+    };
+    const auto sound_call = [&](const std::string& call, int) { return sound(whole_answer(call)); };
+    const auto sound_stream = [&](const std::string& call, int)
+    { return sound(whole_stream(call)); };
+    scripted_endpoint faulty(endless);
+    scripted_endpoint faulty_model(endless);
+    std::vector<std::unique_ptr<scripted_endpoint>> sound_ones;
+    router_system system(0, 0);
+    system.add_endpoint("faulty", faulty, std::nullopt);
+    system.add_endpoint("faulty-model", faulty_model, layer_range{0, 12});
+    for (int i = 0; i < 2; ++i)
+    {
+        sound_ones.push_back(std::make_unique<scripted_endpoint>(sound_call));
+        system.add_endpoint(fmt::format("sound-{}", i), *sound_ones.back(), std::nullopt);
+    }
+    for (int i = 0; i < 3; ++i)
+    {
+        sound_ones.push_back(std::make_unique<scripted_endpoint>(sound_stream));
+        system.add_endpoint(
+            fmt::format("sound-model-{}", i), *sound_ones.back(), layer_range{0, 12});
+    }
+    system.start_router("router-1");
+    caller_load streams{3s};
+    caller_load calls{800ms};
+    const auto end = steady::now() + 6s;
+    // The process runs for a part of the time only, as one with a limit on its processor time.
+    std::thread throttling(
+        [&]
+        {
+            while (steady::now() < end)
+            {
+                system.process("router-1").kill(SIGSTOP);
+                std::this_thread::sleep_for(85ms);
+                system.process("router-1").kill(SIGCONT);
+                std::this_thread::sleep_for(15ms);
+            }
+        });
+    std::thread running_streams(
+        [&] { streams.run_until(system.address("router-1"), "/chat/1", 30, end); });
+    calls.run_until(system.address("router-1"), "/look/1", 30, end);
+    running_streams.join();
+    throttling.join();
+    CHECK(calls.m_unanswered.load() == 0);
+    CHECK(calls.m_late.load() == 0);
+    CHECK(streams.m_unanswered.load() == 0);
+}
+
 TEST_CASE("answers without end leave memory for the answers of other callers")
 {
     // Guards against a router that runs out of memory, each answer within its limit.
--- a/tests/unit/endless_answer_test.cpp
+++ b/tests/unit/endless_answer_test.cpp
@@ -17,6 +17,9 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
+#include <thread>
+
 using namespace fulmaryard;
 namespace asio = boost::asio;
 
@@ -223,4 +226,31 @@
     }
 }
 
+TEST_CASE("an answer without end ends soon after its deadline in a busy process")
+{
+    // Guards against an answer that is read for seconds past its deadline because the process reads
+    // many others in turn.
+    constexpr std::chrono::milliseconds turns_of_others{5};
+    constexpr std::chrono::milliseconds deadline{50};
+    constexpr std::chrono::milliseconds late_after{500}; // The users' rule on late answers.
+    asio::io_context io;
+    endless_server server(io, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x");
+    reading result;
+    result.m_deadline = deadline;
+    bool done = false;
+    const auto start = std::chrono::steady_clock::now();
+    asio::co_spawn(
+        io, read_answer(io, server.address(), result),
+        [&done](const std::exception_ptr&) { done = true; });
+    while (!done)
+    {
+        std::this_thread::sleep_for(turns_of_others);
+        io.poll_one();
+    }
+    const auto after = std::chrono::steady_clock::now() - start;
+    REQUIRE_FALSE(result.m_status.ok());
+    CHECK(kind_of(result.m_status) == failure_kind::deadline_exceeded);
+    CHECK(after < deadline + late_after);
+}
+
 TEST_SUITE_END();
