Endpoint connections: a time-out leaves an operation alone whose socket is ready

A router that did not run for a moment (a pause, a large configuration on a small instance) threw answers away that had arrived in time, and took their endpoints for silent: calls got 504 or a second attempt, load queries and connects put sound endpoints under suspicion.

Cause: one pass of the event loop reads at most 128 ready sockets, but handles all timers. Once any timer has expired early in the pause, as that of the router's tick does, the time-outs of all answers after the 128th come before their bytes. Ruled out: without such a timer none is lost.

The time-out is now a timer that looks at the socket before it closes it, and looks again after the next pass while the socket is ready; reads past the deadline stay limited by late_reads. Beast's own time-out cannot be asked, it closes the socket.

Not changed: http_client (store, side process) and http_server, which use that time-out as well.

--- a/src/endpoint_channel.cpp
+++ b/src/endpoint_channel.cpp
@@ -1,5 +1,6 @@
 #include "http_conversion_inl.hpp"
 #include "late_reads.hpp"
+#include "operation_deadline.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/endpoint_channel.hpp>
@@ -88,9 +89,21 @@
 
 struct endpoint_channel::state
 {
-    explicit state(const asio::any_io_executor& executor) : m_stream(executor) {}
+    using operation = operation_deadline::operation;
+
+    explicit state(const asio::any_io_executor& executor) : m_stream(executor), m_deadline(m_stream)
+    {
+    }
+
+    /// Ends the deadline of an operation. Returns its error, or the time-out that ended it.
+    beast::error_code finish(const beast::error_code& error)
+    {
+        const bool expired = m_deadline.stop();
+        return error && expired ? beast::error::timeout : error;
+    }
 
     beast::tcp_stream m_stream;
+    operation_deadline m_deadline;
     beast::flat_buffer m_buffer{max_buffered_bytes};
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::string m_address;
@@ -115,9 +128,9 @@
     const auto endpoint = parse_address(m_state->m_address);
     if (!endpoint.ok())
         co_return endpoint.status();
-    m_state->m_stream.expires_at(deadline);
-    const auto [error] = co_await m_state->m_stream.async_connect(*endpoint, use_tuple);
-    if (error)
+    m_state->m_deadline.start(state::operation::write, deadline);
+    const auto [result] = co_await m_state->m_stream.async_connect(*endpoint, use_tuple);
+    if (const auto error = m_state->finish(result))
         co_return io_failure(error, dispatch_progress::not_sent);
     m_state->m_open = true;
     beast::error_code ignored;
@@ -137,9 +150,9 @@
     set_fields(message, request.m_fields);
     message.body() = request.m_body;
     message.prepare_payload();
-    m_state->m_stream.expires_at(deadline);
-    const auto [error, size] = co_await http::async_write(m_state->m_stream, message, use_tuple);
-    if (error)
+    m_state->m_deadline.start(state::operation::write, deadline);
+    const auto [result, size] = co_await http::async_write(m_state->m_stream, message, use_tuple);
+    if (const auto error = m_state->finish(result))
         co_return io_failure(error, dispatch_progress::sent);
     co_return absl::OkStatus();
 }
@@ -148,15 +161,15 @@
 {
     m_state->m_response_complete = false;
     m_state->m_late_reads = {};
-    m_state->m_stream.expires_at(deadline);
     for (int provisional = 0;; ++provisional)
     {
         auto& parser = m_state->m_parser.emplace();
         parser.header_limit(max_header_bytes);
         parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-        const auto [error, size] = co_await http::async_read_header(
+        m_state->m_deadline.start(state::operation::read, deadline);
+        const auto [result, size] = co_await http::async_read_header(
             m_state->m_stream, m_state->m_buffer, parser, use_tuple);
-        if (error)
+        if (const auto error = m_state->finish(result))
             co_return io_failure(error, dispatch_progress::sent);
         if (!is_provisional(parser.get().result_int()))
             break;
@@ -191,9 +204,10 @@
     std::array<char, read_buffer_bytes> chunk;
     parser.get().body().data = chunk.data();
     parser.get().body().size = chunk.size();
-    m_state->m_stream.expires_at(deadline);
+    m_state->m_deadline.start(state::operation::read, deadline);
     auto [error, size] =
         co_await http::async_read_some(m_state->m_stream, m_state->m_buffer, parser, use_tuple);
+    error = m_state->finish(error);
     // The read ends with the first chunk; the others that have arrived need no wait.
     auto& buffer = m_state->m_buffer;
     while (!error && buffer.size() > 0 && !parser.is_done() && parser.get().body().size > 0)
