HTTP server: answer a request whose handler fails

A caller whose whole request had been read got neither an answer nor a refusal when the handler threw: the exception left the connection's coroutine, which closed the connection, and the log line named neither the connection nor the request.

The server now catches the exception around the handler. Without a byte of an answer the caller gets 500; an answer that has begun is broken off without its end. The request counts as in progress until then, so a stop waits for it. Routers log `request_failed` with the request's id.

Test "a request whose handler fails": failed before ("before its response is answered with 500": connection closed without a byte), passes.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -284,18 +284,25 @@
     std::atomic<std::size_t>& m_count;
 };
 
-void log_exception(const std::exception_ptr& failure)
+void log_exception(const std::exception_ptr& failure, std::uint64_t connection)
 {
     if (!failure)
         return;
+    std::string error = "unknown";
     try
     {
         std::rethrow_exception(failure);
     }
-    catch (const std::exception& error)
+    catch (const std::exception& exception)
     {
-        log_event(log_level::error, "connection_failed").with("error", error.what());
+        error = exception.what();
     }
+    catch (...)
+    {
+    }
+    log_event(log_level::error, "connection_failed")
+        .with("connection", connection)
+        .with("error", error);
 }
 
 } // namespace
@@ -360,10 +367,10 @@
         const std::uint64_t connection = ++m_accepted_count;
         asio::co_spawn(
             executor, serve(beast::tcp_stream(std::move(socket)), connection),
-            [self](const std::exception_ptr& failure)
+            [self, connection](const std::exception_ptr& failure)
             {
                 self->m_open_connections.fetch_sub(1);
-                log_exception(failure);
+                log_exception(failure, connection);
             });
     }
 }
@@ -451,11 +458,21 @@
         connection_exchange exchange(
             stream, connection, std::move(request), message.keep_alive(), m_limits.m_write_deadline,
             m_keep_alive_disabled);
+        const active_exchange_guard guard(m_active_exchanges);
+        std::exception_ptr failure;
+        try
         {
-            const active_exchange_guard guard(m_active_exchanges);
             co_await m_on_request(exchange);
         }
+        catch (...)
+        {
+            failure = std::current_exception();
+        }
+        log_exception(failure, connection);
         exchange.cancel_watch();
+        // Without its end, a response that has begun is not taken for a complete one.
+        if (failure && exchange.response_started())
+            break;
         if (!exchange.response_started())
         {
             // A named object, since g++ 12 frees the members of a braced temporary inside a
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -29,6 +29,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <exception>
 #include <optional>
 #include <set>
 #include <tuple>
@@ -444,16 +445,28 @@
             accepted.m_shutdown_deadline = m_exit_deadline;
         const auto* service = table->find_service(accepted.m_service);
         const bool has_pipeline = service != nullptr && service->m_engine;
-        // A streaming route may send some of its requests to a service without pipelines.
-        if (has_pipeline || accepted.m_route.m_kind == call_kind::streaming)
+        const auto id = accepted.m_call.m_id;
+        try
         {
-            stream_session session(m_core, exchange, std::move(accepted));
-            co_await session.run();
+            // A streaming route may send some of its requests to a service without pipelines.
+            if (has_pipeline || accepted.m_route.m_kind == call_kind::streaming)
+            {
+                stream_session session(m_core, exchange, std::move(accepted));
+                co_await session.run();
+            }
+            else
+            {
+                plain_session session(m_core, exchange, std::move(accepted));
+                co_await session.run();
+            }
         }
-        else
+        catch (const std::exception& error)
         {
-            plain_session session(m_core, exchange, std::move(accepted));
-            co_await session.run();
+            log_event(log_level::error, "request_failed")
+                .with("request", id)
+                .with("connection", exchange.connection())
+                .with("error", error.what());
+            throw;
         }
     }
 
--- /dev/null
+++ b/tests/unit/http_server_test.cpp
@@ -0,0 +1,125 @@
+#include <fulmaryard/http_exchange.hpp>
+#include <fulmaryard/http_server.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <future>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <tuple>
+
+using namespace fulmaryard;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+/// Connection of a caller that blocks. To be used by a thread other than that of the server.
+class blocking_caller
+{
+public:
+    explicit blocking_caller(std::uint16_t port) : m_socket(m_io)
+    {
+        m_socket.connect({asio::ip::address_v4::loopback(), port});
+    }
+
+    void send(std::string_view text) { asio::write(m_socket, asio::buffer(text)); }
+
+    /// Reads until the server closes the connection.
+    std::string read_all()
+    {
+        std::string received;
+        std::array<char, 64 * 1024> part{};
+        boost::system::error_code error;
+        while (!error)
+        {
+            const auto size = m_socket.read_some(asio::buffer(part), error);
+            received.append(part.data(), size);
+        }
+        return received;
+    }
+
+private:
+    asio::io_context m_io;
+    asio::ip::tcp::socket m_socket;
+};
+
+/// Runs the event loop until `answer` is there, for 10 s at most.
+std::string run_until_answered(asio::io_context& io, std::future<std::string>& answer)
+{
+    const auto end = steady::now() + 10s;
+    io.restart();
+    while (answer.wait_for(0s) != std::future_status::ready && steady::now() < end)
+        io.run_for(5ms);
+    return answer.wait_for(0s) == std::future_status::ready ? answer.get() : "no answer";
+}
+
+std::string body_of(const std::string& response)
+{
+    const auto end = response.find("\r\n\r\n");
+    return end == std::string::npos ? "" : response.substr(end + 4);
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("unit");
+
+TEST_CASE("a request whose handler fails")
+{
+    // Guards against a whole request that gets neither an answer nor a refusal.
+    asio::io_context io;
+    bool began = false;
+    http_server server(
+        io, {},
+        [&](http_exchange& exchange) -> asio::awaitable<void>
+        {
+            if (began)
+            {
+                http_response head{200, {}, {}};
+                std::ignore = co_await exchange.begin_chunked(std::move(head));
+                std::ignore = co_await exchange.send_chunk("half");
+            }
+            throw std::runtime_error("no memory");
+        });
+    const auto port = server.listen("127.0.0.1:0");
+    REQUIRE(port.ok());
+    const auto request = [&]
+    {
+        auto answer = std::async(
+            std::launch::async,
+            [&]
+            {
+                blocking_caller caller(*port);
+                caller.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+                return caller.read_all();
+            });
+        return run_until_answered(io, answer);
+    };
+    SUBCASE("before its response is answered with 500")
+    {
+        CHECK(request().starts_with("HTTP/1.1 500 "));
+    }
+    SUBCASE("in the middle of its response gets no end that looks complete")
+    {
+        began = true;
+        const auto response = request();
+        CHECK(response.starts_with("HTTP/1.1 200 "));
+        CHECK(body_of(response) == "4\r\nhalf\r\n");
+    }
+    SUBCASE("no longer counts as in progress")
+    {
+        request();
+        CHECK(server.active_exchanges() == 0);
+    }
+}
+
+TEST_SUITE_END();
