HTTP server: a time limit leaves a connection alone whose bytes have arrived

A process that did not run for a moment closed connections of callers whose requests had arrived meanwhile: one pass of the event loop takes 128 sockets but all timers, so an idle limit came before the read.

Reads and writes of the server use operation_deadline now. For the read of a whole request, which leaves the connection open for its 408, it cancels instead of closing; a ready socket extends that limit by half a second only, and a read that never waits is closed after as much again, so that a request whose bytes never stop still ends.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,4 +1,5 @@
 #include "http_conversion_inl.hpp"
+#include "operation_deadline.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/error_response.hpp>
@@ -55,9 +56,11 @@
 {
 public:
     connection_exchange(
-        beast::tcp_stream& stream, std::uint64_t connection, http_request request, bool keep_alive,
-        std::chrono::milliseconds write_deadline, const std::atomic<bool>& keep_alive_disabled)
+        beast::tcp_stream& stream, operation_deadline& deadline, std::uint64_t connection,
+        http_request request, bool keep_alive, std::chrono::milliseconds write_deadline,
+        const std::atomic<bool>& keep_alive_disabled)
         : m_stream(stream),
+          m_deadline(deadline),
           m_connection(connection),
           m_request(std::move(request)),
           m_keep_alive(keep_alive),
@@ -82,7 +85,7 @@
         message.body() = std::move(response.m_body);
         message.keep_alive(m_keep_alive = m_keep_alive && !m_keep_alive_disabled);
         message.prepare_payload();
-        m_stream.expires_after(m_write_deadline);
+        start_write();
         const auto [error, written] = co_await http::async_write(m_stream, message, use_tuple);
         co_return finish_write(error);
     }
@@ -103,7 +106,7 @@
         message.chunked(true);
         message.keep_alive(m_keep_alive = m_keep_alive && !m_keep_alive_disabled);
         http::response_serializer<http::empty_body> serializer(message);
-        m_stream.expires_after(m_write_deadline);
+        start_write();
         const auto [error, written] =
             co_await http::async_write_header(m_stream, serializer, use_tuple);
         co_return finish_write(error);
@@ -111,7 +114,7 @@
 
     asio::awaitable<absl::Status> send_chunk(std::string_view text) override
     {
-        m_stream.expires_after(m_write_deadline);
+        start_write();
         const auto [error, written] = co_await asio::async_write(
             m_stream, http::make_chunk(asio::const_buffer(text.data(), text.size())), use_tuple);
         co_return finish_write(error);
@@ -119,7 +122,7 @@
 
     asio::awaitable<absl::Status> send_last_chunk() override
     {
-        m_stream.expires_after(m_write_deadline);
+        start_write();
         const auto [error, written] =
             co_await asio::async_write(m_stream, http::make_chunk_last(), use_tuple);
         co_return finish_write(error);
@@ -208,9 +211,18 @@
             });
     }
 
-    absl::Status finish_write(const beast::error_code& error)
+    void start_write()
     {
-        m_stream.expires_never();
+        m_deadline.start(
+            operation_deadline::operation::write,
+            std::chrono::steady_clock::now() + m_write_deadline);
+    }
+
+    absl::Status finish_write(beast::error_code error)
+    {
+        const bool expired = m_deadline.stop();
+        if (error && expired)
+            error = beast::error::timeout;
         if (error)
         {
             m_usable = false;
@@ -222,6 +234,7 @@
     }
 
     beast::tcp_stream& m_stream;
+    operation_deadline& m_deadline;
     std::uint64_t m_connection;
     http_request m_request;
     bool m_keep_alive;
@@ -234,34 +247,18 @@
 
 using request_parser = http::request_parser<http::string_body>;
 
-/// Reads one request. Fails with `beast::error::timeout` after `deadline` and leaves the connection
-/// open, so that the error response can still be sent. The built-in timeout of tcp_stream would
-/// close the socket.
+/// Reads one request. Fails with `beast::error::timeout` after `time_limit` and leaves the
+/// connection open, so that the error response can still be sent.
 asio::awaitable<beast::error_code> read_request(
-    beast::tcp_stream& stream, beast::flat_buffer& buffer, request_parser& parser,
-    std::chrono::milliseconds deadline)
+    beast::tcp_stream& stream, operation_deadline& deadline, beast::flat_buffer& buffer,
+    request_parser& parser, std::chrono::milliseconds time_limit)
 {
-    struct read_state
-    {
-        bool m_reading{true};
-        bool m_timed_out{false};
-    };
-    const auto state = std::make_shared<read_state>();
-    asio::steady_timer timer(stream.get_executor(), deadline);
-    timer.async_wait(
-        [state, &stream](const beast::error_code& error)
-        {
-            if (error || !state->m_reading)
-                return;
-            state->m_timed_out = true;
-            beast::error_code ignored;
-            stream.socket().cancel(ignored);
-        });
-    // Fallback for a read that starts just after the cancellation and is therefore not cancelled.
-    stream.expires_after(deadline + std::chrono::seconds(1));
+    deadline.start(
+        operation_deadline::operation::read, std::chrono::steady_clock::now() + time_limit,
+        operation_deadline::expiry_action::cancel_operation);
     const auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
-    state->m_reading = false;
-    if (state->m_timed_out && error)
+    const bool expired = deadline.stop();
+    if (error && expired)
         co_return beast::error_code(beast::error::timeout);
     co_return error;
 }
@@ -423,6 +420,7 @@
 asio::awaitable<void> http_server::state::serve(beast::tcp_stream stream, std::uint64_t connection)
 {
     const auto self = shared_from_this();
+    operation_deadline deadline(stream);
     beast::flat_buffer buffer(m_limits.m_max_header_bytes + 64 * 1024);
     while (!m_stopping)
     {
@@ -431,21 +429,23 @@
         parser.body_limit(m_limits.m_max_body_bytes);
         if (buffer.size() == 0)
         {
-            stream.expires_after(m_limits.m_idle_deadline);
+            deadline.start(
+                operation_deadline::operation::read,
+                std::chrono::steady_clock::now() + m_limits.m_idle_deadline);
             const auto [error, size] =
                 co_await stream.async_read_some(buffer.prepare(4096), use_tuple);
+            deadline.stop();
             if (error)
                 break;
             buffer.commit(size);
         }
         const beast::error_code error =
-            co_await read_request(stream, buffer, parser, m_limits.m_request_deadline);
+            co_await read_request(stream, deadline, buffer, parser, m_limits.m_request_deadline);
         if (error)
         {
             co_await respond_to_read_error(stream, error);
             break;
         }
-        stream.expires_never();
         if (m_on_upgrade && beast::websocket::is_upgrade(parser.get()))
         {
             m_on_upgrade(stream.release_socket(), parser.release());
@@ -456,8 +456,8 @@
             std::string(message.method_string()), std::string(message.target()),
             copy_fields(message.base()), message.body()};
         connection_exchange exchange(
-            stream, connection, std::move(request), message.keep_alive(), m_limits.m_write_deadline,
-            m_keep_alive_disabled);
+            stream, deadline, connection, std::move(request), message.keep_alive(),
+            m_limits.m_write_deadline, m_keep_alive_disabled);
         const active_exchange_guard guard(m_active_exchanges);
         std::exception_ptr failure;
         try
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -3,16 +3,19 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <doctest/doctest.h>
 
 #include <array>
 #include <future>
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <thread>
 #include <tuple>
+#include <vector>
 
 using namespace fulmaryard;
 using namespace std::chrono_literals;
@@ -122,4 +125,87 @@
     }
 }
 
+TEST_CASE(
+    "requests that arrive while the server is held up are answered, also after its idle limit")
+{
+    // Guards against a process that takes its own pause for the silence of its callers.
+    constexpr int callers = 300;
+    http_server_limits limits;
+    limits.m_idle_deadline = 500ms;
+    asio::io_context io;
+    http_server server(
+        io, limits,
+        [](http_exchange& exchange) -> asio::awaitable<void>
+        {
+            http_response response{200, {}, {}};
+            std::ignore = co_await exchange.respond(std::move(response));
+        });
+    const auto port = server.listen("127.0.0.1:0");
+    REQUIRE(port.ok());
+    std::vector<std::unique_ptr<blocking_caller>> connections;
+    for (int i = 0; i < callers; ++i)
+    {
+        connections.push_back(std::make_unique<blocking_caller>(*port));
+        io.poll();
+    }
+    const auto idle_end = steady::now() + limits.m_idle_deadline;
+    // A timer that expires first makes the event loop look at all timers before it has read all
+    // requests.
+    asio::steady_timer tick(io, steady::now() + 1ms);
+    tick.async_wait([](const boost::system::error_code&) {});
+    io.poll();
+    std::this_thread::sleep_for(5ms);
+    for (const auto& connection : connections)
+        connection->send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_until(idle_end + 50ms);
+    auto answered = std::async(
+        std::launch::async,
+        [&]
+        {
+            int count = 0;
+            for (const auto& connection : connections)
+                count += connection->read_all().starts_with("HTTP/1.1 200 ") ? 1 : 0;
+            return std::to_string(count);
+        });
+    CHECK(run_until_answered(io, answered) == std::to_string(callers));
+}
+
+TEST_CASE("a request whose bytes never stop")
+{
+    // Guards against a caller who holds a connection past its time limit.
+    http_server_limits limits;
+    limits.m_request_deadline = 300ms;
+    asio::io_context io;
+    http_server server(
+        io, limits,
+        [](http_exchange& exchange) -> asio::awaitable<void>
+        {
+            http_response response{200, {}, {}};
+            std::ignore = co_await exchange.respond(std::move(response));
+        });
+    const auto port = server.listen("127.0.0.1:0");
+    REQUIRE(port.ok());
+    auto answer = std::async(
+        std::launch::async,
+        [&]
+        {
+            blocking_caller caller(*port);
+            caller.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+            // Extensions of chunks do not count toward the size of the body.
+            const std::string chunk = "1;" + std::string(8'000, 'e') + "\r\nx\r\n";
+            const auto end = steady::now() + 5s;
+            try
+            {
+                while (steady::now() < end)
+                    caller.send(chunk);
+            }
+            catch (const std::exception&)
+            {
+                return std::string("closed");
+            }
+            return std::string("read on");
+        });
+    CHECK(run_until_answered(io, answer) == "closed");
+}
+
 TEST_SUITE_END();
