HTTP client: a time-out leaves an exchange alone whose answer has arrived

Answers that had arrived in time at an entry or a side process were thrown away when the process had been held up past their deadline, and the calls failed as if the server had been silent.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_conversion_inl.hpp"
 #include "late_reads.hpp"
+#include "operation_deadline.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/failure.hpp>
@@ -51,7 +52,20 @@
 /// One connection, with the buffer of the bytes that were read but not yet parsed.
 struct pooled_connection
 {
-    explicit pooled_connection(const asio::any_io_executor& executor) : m_stream(executor) {}
+    using operation = operation_deadline::operation;
+
+    explicit pooled_connection(const asio::any_io_executor& executor)
+        : m_stream(executor),
+          m_deadline(m_stream)
+    {
+    }
+
+    /// Ends the deadline of an operation. Returns its error, or the time-out that ended it.
+    beast::error_code finish(const beast::error_code& error)
+    {
+        const bool expired = m_deadline.stop();
+        return error && expired ? beast::error::timeout : error;
+    }
 
     /// Whether the peer has neither closed the connection nor sent bytes that answer no request.
     bool is_open_and_idle()
@@ -65,6 +79,7 @@
     }
 
     beast::tcp_stream m_stream;
+    operation_deadline m_deadline; ///< To be used on the strand of the stream.
     beast::flat_buffer m_buffer{max_buffered_bytes};
 };
 
@@ -153,22 +168,27 @@
         const auto [error] = co_await connection->m_stream.async_connect(*endpoint, use_tuple);
         if (error)
             co_return io_failure(error, dispatch_progress::not_sent);
+        connection->m_stream.expires_never();
         beast::error_code ignored;
         connection->m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
         co_return connection;
     }
 
-    /// Reads one response, recording its progress in `transfer` unless that is null.
+    /// Reads one response, recording its progress in `transfer` unless that is null. `next_read` is
+    /// the deadline of the next read.
     static asio::awaitable<beast::error_code> read_response(
         pooled_connection& connection, http::response_parser<http::string_body>& parser,
-        const exchange_deadlines& deadlines, http_transfer* transfer)
+        const exchange_deadlines& deadlines, exchange_deadlines::time_point& next_read,
+        http_transfer* transfer)
     {
         parser.eager(true);
         late_reads late;
         while (!parser.is_done())
         {
-            const auto [error, size] = co_await http::async_read_some(
+            connection.m_deadline.start(pooled_connection::operation::read, next_read);
+            const auto [result, size] = co_await http::async_read_some(
                 connection.m_stream, connection.m_buffer, parser, use_tuple);
+            const auto error = connection.finish(result);
             const auto now = std::chrono::steady_clock::now();
             if (transfer != nullptr)
                 transfer->on_received(size, now);
@@ -177,7 +197,7 @@
             if (!late.on_read(size, now, deadlines.m_end))
                 co_return beast::error_code(beast::error::timeout);
             if (size > 0)
-                connection.m_stream.expires_at(deadlines.next_read(now));
+                next_read = deadlines.next_read(now);
         }
         co_return beast::error_code{};
     }
@@ -188,9 +208,11 @@
         pooled_connection& connection, const http::request<http::string_body>& message,
         const exchange_deadlines& deadlines, http_transfer* transfer, bool reused)
     {
-        connection.m_stream.expires_at(deadlines.m_first_byte);
-        const auto [write_error, written] =
+        auto next_read = deadlines.m_first_byte;
+        connection.m_deadline.start(pooled_connection::operation::write, next_read);
+        const auto [write_result, written] =
             co_await http::async_write(connection.m_stream, message, use_tuple);
+        const auto write_error = connection.finish(write_result);
         if (write_error)
             co_return attempt_result{
                 io_failure(write_error, dispatch_progress::sent),
@@ -203,7 +225,7 @@
             if (message.method() == http::verb::head)
                 parser->skip(true);
             const auto read_error =
-                co_await read_response(connection, *parser, deadlines, transfer);
+                co_await read_response(connection, *parser, deadlines, next_read, transfer);
             if (read_error)
             {
                 const bool nothing_read =
@@ -222,7 +244,6 @@
                     false, false};
             }
         }
-        connection.m_stream.expires_never();
         const bool surplus = connection.m_buffer.size() != 0;
         if (surplus && reused)
         {
--- a/tests/unit/held_up_process_test.cpp
+++ b/tests/unit/held_up_process_test.cpp
@@ -4,6 +4,7 @@
 #include <fulmaryard/endpoint_call.hpp>
 #include <fulmaryard/endpoint_channel.hpp>
 #include <fulmaryard/failure.hpp>
+#include <fulmaryard/http_client.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,6 +20,7 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <memory>
 #include <optional>
 #include <thread>
 #include <vector>
@@ -137,6 +139,14 @@
     status = response.status();
 }
 
+asio::awaitable<void>
+call(http_client& client, std::chrono::milliseconds time_limit, std::optional<absl::Status>& status)
+{
+    http_request request{"GET", "/", {}, {}};
+    const auto response = co_await client.send(std::move(request), time_limit);
+    status = response.status();
+}
+
 } // namespace
 
 TEST_SUITE_BEGIN("unit");
@@ -178,6 +188,40 @@
     CHECK(lost == 0);
 }
 
+TEST_CASE("answers to HTTP clients that arrive while the process is held up are read")
+{
+    // Guards against a sound server whose answer is thrown away, so that its call fails.
+    constexpr int answers = 300;
+    constexpr auto time_limit = 1s;
+    asio::io_context io;
+    sound_endpoint endpoint(false);
+    std::vector<std::optional<absl::Status>> results(answers);
+    std::vector<std::unique_ptr<http_client>> clients;
+    for (auto& result : results)
+    {
+        clients.push_back(std::make_unique<http_client>(io.get_executor(), endpoint.address()));
+        asio::co_spawn(io, call(*clients.back(), time_limit, result), asio::detached);
+    }
+    while (endpoint.received() < answers)
+        io.run_for(5ms);
+    // A timer that expires first makes the event loop look at all timers before it has read all
+    // answers.
+    asio::steady_timer tick(io, steady::now() + 1ms);
+    tick.async_wait([](const boost::system::error_code&) {});
+    io.poll();
+    std::this_thread::sleep_for(5ms);
+    endpoint.answer_all();
+    while (endpoint.answered() < answers)
+        std::this_thread::sleep_for(5ms);
+    std::this_thread::sleep_for(time_limit);
+    io.restart();
+    io.run();
+    int lost = 0;
+    for (const auto& result : results)
+        lost += result && result->ok() ? 0 : 1;
+    CHECK(lost == 0);
+}
+
 TEST_CASE("a call of a process that is held up between its steps")
 {
     // Guards against a sound endpoint that counts as silent because its caller did not run.
