Routers: an endpoint without known layers does not begin a path

Callers waited a second for a path that could not come, and were told to come back too late: while the endpoints that hold the first layer wanted no work, a new endpoint whose layers were not known yet (0-0) counted as one that holds it, so that the time at which work is wanted again was unknown.

New test "when a pipeline whose first endpoints want no work takes requests again": before, the section "also beside an endpoint whose layers are not known yet" failed; passes.

--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -110,11 +110,16 @@
 std::optional<router_core::time_point> router_core::work_wanted_at(const std::string& service) const
 {
     const auto now = std::chrono::steady_clock::now();
+    const auto* routed = m_table == nullptr ? nullptr : m_table->find_service(service);
+    const bool has_pipeline = routed != nullptr && routed->m_engine;
     std::optional<time_point> earliest;
     for (const auto& [id, record] : m_membership.endpoints())
     {
         // A path begins at an endpoint that holds the first layer; the others do not matter here.
-        if (record.m_service != service || layers_of(record).m_begin != 0)
+        // The layers of an endpoint are empty while they are not known.
+        const auto layers = layers_of(record);
+        const bool is_first = !has_pipeline || (layers.m_begin == 0 && layers.m_end > 0);
+        if (record.m_service != service || !is_first)
             continue;
         if (usable(record))
             return std::nullopt;
