Streams: a stopping router takes only those that end before it

For 2.5 s a stopping router took any stream; afterwards it asked for twice the time of the caller's limit.

Others are refused at once, not run, with a short Retry-After, since other routers have room. A router that knows no other one takes streams for 2.5 s as before. A further attempt of a stream that was taken is no longer refused for the stop.

--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -326,6 +326,12 @@
     return std::chrono::steady_clock::duration(static_cast<std::int64_t>(random_value() % limit));
 }
 
+std::chrono::milliseconds router_core::stop_retry_after()
+{
+    return refusal_retry_after + std::chrono::duration_cast<std::chrono::milliseconds>(
+                                     random_spread(refusal_retry_after));
+}
+
 std::chrono::milliseconds router_core::retry_after(const std::string& service)
 {
     using duration = std::chrono::steady_clock::duration;
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -21,6 +21,7 @@
 #include <fulmaryard/retry_budget.hpp>
 #include <fulmaryard/router_settings.hpp>
 #include <fulmaryard/routing_table.hpp>
+#include <fulmaryard/stream_durations.hpp>
 #include <fulmaryard/wait_queue.hpp>
 
 #include <absl/status/statusor.h>
@@ -152,6 +153,13 @@
     /// together.
     std::chrono::steady_clock::duration random_spread(std::chrono::steady_clock::duration most);
 
+    /// Whether requests that this router refuses may be served by another one.
+    bool has_other_routers() const { return m_router_count != 1; }
+
+    /// When a call that is refused because this router stops should be tried again. Other routers
+    /// have room for it; the time keeps callers of this one from arriving together.
+    std::chrono::milliseconds stop_retry_after();
+
     /// When a refused call to a service without pipelines should be tried again.
     std::chrono::milliseconds retry_after(const std::string& service);
 
@@ -169,6 +177,8 @@
     endpoint_notices m_notices;
     endpoint_refusals m_refusals;
     endpoint_reservations m_reservations;
+    stream_durations m_stream_durations;
+    std::optional<time_point> m_drain_start; ///< Set once this router stops.
     channel_pool m_channels;
     wait_queue m_wait_queue;
     prompt_quarantine m_quarantine;
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -55,9 +55,9 @@
 // A tick that is later than this is logged: the process did not run, or a handler took long.
 constexpr std::chrono::milliseconds notable_loop_delay{100};
 
-// After SIGTERM all new requests are still served for this long, because load balancers keep
-// sending callers here until they have checked readiness twice. Later only requests that end before
-// the process exits are served.
+// After SIGTERM all new calls are still served for this long, and all new streams if no other
+// router is known, because load balancers keep sending callers here until they have checked
+// readiness twice. Later only requests that end before the process exits are served.
 constexpr std::chrono::milliseconds min_drain_time{2'500};
 
 // Requests are ended this long before SIGKILL.
@@ -441,15 +441,17 @@
         if (accepted.m_call.m_deadline.count() > 0)
             time_limit = std::min(time_limit, accepted.m_call.m_deadline);
         accepted.m_end = arrival + time_limit;
-        if (m_refuses_long_requests)
-            accepted.m_shutdown_deadline = m_exit_deadline;
         const auto* service = table->find_service(accepted.m_service);
         const bool has_pipeline = service != nullptr && service->m_engine;
+        // A streaming route may send some of its requests to a service without pipelines.
+        const bool is_stream = has_pipeline || accepted.m_route.m_kind == call_kind::streaming;
+        if (m_refuses_long_requests ||
+            (m_core.m_drain_start && is_stream && m_core.has_other_routers()))
+            accepted.m_shutdown_deadline = m_exit_deadline;
         const auto id = accepted.m_call.m_id;
         try
         {
-            // A streaming route may send some of its requests to a service without pipelines.
-            if (has_pipeline || accepted.m_route.m_kind == call_kind::streaming)
+            if (is_stream)
             {
                 stream_session session(m_core, exchange, std::move(accepted));
                 co_await session.run();
@@ -497,6 +499,7 @@
             {"streams", m_streams.size()},
             {"waiting", m_core.m_wait_queue.size()},
             {"endpoints", m_core.m_membership.endpoints().size()},
+            {"routers", m_core.m_router_count},
             {"suspected", m_core.m_health.own().size()},
             {"slow", m_core.m_health.slow(now).size()},
             {"idle_connections", m_core.m_channels.idle()},
@@ -637,8 +640,8 @@
                 .with("until_restart", fmt::format("{}", fmt::join(kept, ",")));
         }
         // SIGKILL may come sooner than expected when the drain began, but not later.
-        if (m_drain_start)
-            m_exit_deadline = std::min(m_exit_deadline, exit_deadline(*m_drain_start));
+        if (m_core.m_drain_start)
+            m_exit_deadline = std::min(m_exit_deadline, exit_deadline(*m_core.m_drain_start));
     }
 
     /// When requests are ended if the drain began at `start`.
@@ -652,7 +655,7 @@
         if (!m_lifecycle.begin_drain())
             co_return;
         const auto start = steady::now();
-        m_drain_start = start;
+        m_core.m_drain_start = start;
         m_exit_deadline = exit_deadline(start);
         m_caller_server.disable_keep_alive();
         asio::steady_timer timer(m_io);
@@ -697,8 +700,8 @@
     asio::steady_timer m_start_timer;
     steady::time_point m_started_at{steady::now()};
     bool m_endpoints_known{false};
-    bool m_refuses_long_requests{false}; ///< Refuses requests that may outlast the process.
-    std::optional<steady::time_point> m_drain_start;
+    /// Refuses all requests that may outlast the process; streams are refused sooner.
+    bool m_refuses_long_requests{false};
     steady::time_point m_exit_deadline; ///< Latest exit time; set when the drain begins.
     bool m_stopped{false};
     bool m_store_reachable{true};
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -50,6 +50,9 @@
 // path changes its speed over about as many events.
 constexpr int event_interval_window = 8;
 
+// Upper bound of the time per token, by what it is on a path now. Other requests may join.
+constexpr double max_token_time_ratio = 2;
+
 // Typical number of tokens per event. Generated tokens are part of the prefill on another path.
 constexpr double tokens_per_event = 3;
 
@@ -179,6 +182,8 @@
         *m_attempts.emplace_back(std::make_unique<stream_attempt>(m_core.m_answer_memory));
     attempt.m_number = ++m_attempt_count;
     attempt.m_start = now;
+    if (m_attempt_count == 1)
+        m_plan = plan_answer(path);
     const auto& first = path.front();
     const auto* record = m_core.find_endpoint(first.m_endpoint);
     attempt.m_run = {
@@ -282,36 +287,85 @@
 
 std::vector<path_hop> stream_session::find_free_path(const std::set<std::string>& avoided)
 {
+    std::vector<path_hop> path;
     if (has_pipeline())
     {
-        auto path =
+        path =
             m_core.find_path(*service(), m_tokens, context_tokens(), max_prefill_wait(), avoided);
-        if (!path.empty() && may_outlast_router(path))
-            path.clear();
-        return path;
     }
-    // The length of the stream is not known, so it may last until its deadline.
-    if (m_accepted.m_end > m_accepted.m_shutdown_deadline)
-        return {};
-    const auto endpoint = m_core.choose_endpoint(m_accepted.m_service, avoided);
-    if (endpoint.empty())
-        return {};
-    return {path_hop{endpoint, m_core.find_endpoint(endpoint)->m_address, {}}};
+    else if (const auto id = m_core.choose_endpoint(m_accepted.m_service, avoided); !id.empty())
+        path = {path_hop{id, m_core.find_endpoint(id)->m_address, {}}};
+    if (!path.empty() && may_outlast_router(path))
+        path.clear();
+    return path;
 }
 
-bool stream_session::may_outlast_router(const std::vector<path_hop>& path) const
+bool stream_session::may_outlast_router(const std::vector<path_hop>& path)
 {
-    if (m_accepted.m_shutdown_deadline == time_point::max())
+    // A stream that was taken is never ended sooner than the process.
+    if (m_accepted.m_shutdown_deadline == time_point::max() || m_attempt_count > 0)
+        return false;
+    const auto now = steady::now();
+    const auto expected = expected_duration(path);
+    m_outlasts_router = expected ? now + expected->m_duration > m_accepted.m_shutdown_deadline
+                                 : m_accepted.m_end > m_accepted.m_shutdown_deadline;
+    if (!m_outlasts_router)
         return false;
-    const double tokens = static_cast<double>(m_accepted.m_call.m_max_answer_tokens);
+    m_core.m_metrics.counter("fulmaryard_router_stop_refusals_total").add();
+    log_event(log_level::info, "stream_outlasts_router")
+        .with("request", m_accepted.m_call.m_id)
+        .with("expected_ms", expected ? expected->m_duration.count() : 0)
+        .with("answers", expected ? expected->m_observations : 0)
+        .with("left_ms", to_ms(m_accepted.m_shutdown_deadline - now));
+    return true;
+}
+
+stream_durations::plan stream_session::plan_answer(const std::vector<path_hop>& path) const
+{
+    const auto& call = m_accepted.m_call;
+    auto tokens = static_cast<double>(call.m_expected_answer_tokens);
     if (tokens == 0)
-        return m_accepted.m_end > m_accepted.m_shutdown_deadline; // No limit is known.
-    const double max_duration_ms =
-        2 * tokens *
-            (m_core.path_decode_ms(*service(), path, 0) + static_cast<double>(path.size())) +
-        static_cast<double>(late_prefill_wait.count());
-    return steady::now() + std::chrono::milliseconds(static_cast<std::int64_t>(max_duration_ms)) >
-           m_accepted.m_shutdown_deadline;
+        tokens = static_cast<double>(call.m_max_answer_tokens);
+    stream_durations::plan plan;
+    if (has_pipeline())
+    {
+        if (tokens == 0)
+            tokens = engine()->m_mean_response_tokens;
+        plan.m_token_ms =
+            m_core.path_decode_ms(*service(), path, 0) + static_cast<double>(path.size());
+    }
+    plan.m_tokens = std::max(tokens, 1.0);
+    return plan;
+}
+
+std::optional<duration_estimate>
+stream_session::expected_duration(const std::vector<path_hop>& path) const
+{
+    const auto plan = plan_answer(path);
+    const auto known = m_core.m_stream_durations.estimate(route_key(), plan, steady::now());
+    if (known && known->m_settled)
+        return known;
+    const auto max_tokens = static_cast<double>(m_accepted.m_call.m_max_answer_tokens);
+    if (!has_pipeline() || max_tokens == 0)
+        return std::nullopt;
+    const std::chrono::milliseconds bound(
+        static_cast<std::int64_t>(max_token_time_ratio * max_tokens * plan.m_token_ms));
+    const duration_estimate computed{bound + late_prefill_wait, 0, false};
+    return known ? std::max(*known, computed) : computed;
+}
+
+std::string stream_session::route_key() const
+{
+    return m_accepted.m_route.m_host + m_accepted.m_route.m_path_prefix;
+}
+
+void stream_session::record_answered()
+{
+    // A stream that its caller resumed has only a part of its answer.
+    if (m_accepted.m_call.m_resume_after)
+        return;
+    m_core.m_stream_durations.on_answered(
+        route_key(), m_plan, m_accepted.m_arrival, m_time_to_first_event, steady::now());
 }
 
 std::chrono::milliseconds stream_session::max_prefill_wait() const
@@ -401,13 +455,16 @@
         {
             if (m_history.may_have_run())
                 co_return co_await fail_request("no path to resume the stream");
-            co_return co_await refuse("no room");
+            co_return co_await refuse(m_outlasts_router ? "stop" : "no room");
         }
         start_attempt(std::move(path));
         const auto end = co_await finish_attempts();
         // A caller may disconnect as soon as it has the whole answer.
         if (end == attempt_outcome::complete)
+        {
+            record_answered();
             co_return log_end("answered", "");
+        }
         if (end == attempt_outcome::error_relayed)
             co_return log_end("failed_by_endpoint", "");
         const bool was_sent = end == attempt_outcome::broken || end == attempt_outcome::unreachable;
@@ -468,7 +525,7 @@
         if (!path.empty())
             co_return path;
         const auto wanted = m_core.work_wanted_at(m_accepted.m_service);
-        if (!wanted || *wanted > latest || m_accepted.m_end > m_accepted.m_shutdown_deadline)
+        if (!wanted || *wanted > latest || m_outlasts_router)
             break;
         m_queue_timer.expires_at(*wanted + m_core.random_spread(latest - *wanted));
         co_await m_queue_timer.async_wait(use_tuple);
@@ -543,7 +600,9 @@
 {
     const auto now = steady::now();
     std::chrono::milliseconds retry_after{0};
-    if (has_pipeline())
+    if (m_accepted.m_shutdown_deadline != time_point::max())
+        retry_after = m_core.stop_retry_after();
+    else if (has_pipeline())
     {
         retry_after = m_core.m_wait_queue.assign_retry_after(m_tokens, now);
         // The endpoints' own time comes first; the queue spreads the callers behind it.
@@ -596,6 +655,13 @@
     m_core.m_metrics
         .counter("fulmaryard_router_streams_total", fmt::format("outcome=\"{}\"", outcome))
         .add();
+    std::int64_t after_stop_ms = 0;
+    if (m_core.m_drain_start)
+    {
+        after_stop_ms = to_ms(now - *m_core.m_drain_start);
+        m_core.m_metrics.histogram("fulmaryard_router_stream_after_stop_seconds")
+            .record(now - *m_core.m_drain_start);
+    }
     log_event(log_level::info, "stream_ended")
         .with("request", m_accepted.m_call.m_id)
         .with("outcome", outcome)
@@ -607,7 +673,8 @@
         .with("tokens", m_tokens)
         .with("first_event_ms", to_ms(m_time_to_first_event))
         .with("longest_pause_ms", to_ms(m_max_event_interval))
-        .with("after_ms", to_ms(now - m_accepted.m_arrival));
+        .with("after_ms", to_ms(now - m_accepted.m_arrival))
+        .with("after_stop_ms", after_stop_ms);
 }
 
 } // namespace fulmaryard
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -153,8 +153,16 @@
     std::vector<path_hop> find_free_path(const std::set<std::string>& avoided);
     /// Maximum time that the request may wait for the prefills of other requests on its path.
     std::chrono::milliseconds max_prefill_wait() const;
-    /// Whether a stream on `path` may still be running when this router shuts down.
-    bool may_outlast_router(const std::vector<path_hop>& path) const;
+    /// Whether a new stream on `path` may still be running when this router shuts down.
+    bool may_outlast_router(const std::vector<path_hop>& path);
+    /// What is announced of the answer, at the speed of `path`.
+    stream_durations::plan plan_answer(const std::vector<path_hop>& path) const;
+    /// Duration that a stream on `path` is expected not to exceed; nullopt if nothing is known.
+    std::optional<duration_estimate> expected_duration(const std::vector<path_hop>& path) const;
+    /// Route of the request, as the key of what is known of its streams.
+    std::string route_key() const;
+    /// Records that the stream was answered in full.
+    void record_answered();
     /// Records that the endpoints of the path have finished their prefill.
     void record_prefill_done(stream_attempt& attempt);
     /// Records that numbered events of the leading attempt were relayed.
@@ -178,7 +186,9 @@
     accepted_call m_accepted;
     std::shared_ptr<const routing_table> m_table;
     std::uint64_t m_id;
-    double m_tokens{0}; ///< Token capacity reserved on each endpoint of a path.
+    double m_tokens{0};            ///< Token capacity reserved on each endpoint of a path.
+    stream_durations::plan m_plan; ///< On the path of the first attempt.
+    bool m_outlasts_router{false}; ///< Refused because it may not end before this process.
     std::vector<std::unique_ptr<stream_attempt>> m_attempts; ///< Those that have not been removed.
     stream_attempt* m_leader{nullptr}; ///< The attempt whose events were relayed last.
     /// Endpoints that later attempts must not use as their first endpoint.
