Retries: leave a quarter of the budget to streams that callers are reading

One pool paid for callers who have begun to read and for those who may send their request again.

Restarts (nothing read, calls, takeovers beside an attempt that still runs) may use three quarters of the budget, continuations all of it. The budget itself is as large as before, and one of less than four retries is not divided. The counters of retries say the kind.

--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -18,7 +18,7 @@
     ++counts_at(now).m_requests;
 }
 
-bool retry_budget::try_retry(time_point now)
+bool retry_budget::try_retry(time_point now, retry_kind kind)
 {
     auto& current = counts_at(now);
     std::uint64_t requests = 0;
@@ -30,7 +30,10 @@
         requests += past.m_requests;
         retries += past.m_retries;
     }
-    if (retries >= requests * m_settings.m_percent / 100 + m_settings.m_floor)
+    std::uint64_t limit = requests * m_settings.m_percent / 100 + m_settings.m_floor;
+    if (kind == retry_kind::restart)
+        limit -= limit / continuation_divisor;
+    if (retries >= limit)
         return false;
     ++current.m_retries;
     return true;
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -296,7 +296,7 @@
     m_retry_budgets[service].on_request(std::chrono::steady_clock::now());
 }
 
-bool router_core::try_retry(const std::string& service)
+bool router_core::try_retry(const std::string& service, retry_kind kind)
 {
     // All routers share the slack in equal parts. A router that does not know their number assumes
     // a large one. After a restart it does not know which retries it used before, so its part grows
@@ -310,11 +310,13 @@
     auto& budget = m_retry_budgets[service];
     budget.set(
         {m_settings.m_retry_percent, std::max(min_slack, static_cast<std::uint64_t>(slack))});
-    const bool granted = budget.try_retry(std::chrono::steady_clock::now());
+    const bool granted = budget.try_retry(std::chrono::steady_clock::now(), kind);
     m_metrics
         .counter(
             granted ? "fulmaryard_router_retries_total" : "fulmaryard_router_retries_denied_total",
-            fmt::format("service=\"{}\"", service))
+            fmt::format(
+                "service=\"{}\",kind=\"{}\"", service,
+                kind == retry_kind::restart ? "restart" : "continuation"))
         .add();
     return granted;
 }
