Answers without a length: ask whether their endpoint was killed

The end of a connection proves nothing.

If nothing listens there and the endpoint was not leaving, the answer counts as broken: a stream goes on at another endpoint or is broken off, a call is repeated where the route allows it, else its outcome is unknown. An endpoint that does not answer in time counts as running, since a sound one may be silent for a moment. Answers with a length or in chunks pay nothing. What the question adds to the others was not measured.

--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -336,6 +336,9 @@
             read = co_await attempt.m_channel->skip_body(m_latest_answer);
         if (!read.ok())
             co_return break_off_attempt(attempt, message_of(read));
+        if (passed_on && attempt.m_channel->ends_with_connection() &&
+            co_await m_core.check_killed(run))
+            co_return break_off_attempt(attempt, "the endpoint ended with its answer");
         // A late response to another call can arrive on a pooled connection; skips it.
         if (!head.m_matches_call)
             continue;
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -238,6 +238,14 @@
     co_return !response.ok() && kind_of(response.status()) == failure_kind::connection_refused;
 }
 
+boost::asio::awaitable<bool> router_core::check_killed(endpoint_run run)
+{
+    const auto* record = find_endpoint(run.m_endpoint);
+    if (record == nullptr || leaving(*record))
+        co_return false;
+    co_return co_await check_ended(std::move(run));
+}
+
 layer_range router_core::layers_of(const endpoint_record& record) const
 {
     const auto reported = m_reported_layers.find(record.m_id);
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -122,6 +122,11 @@
     /// what was sent before: the entry that was known then may have been old.
     boost::asio::awaitable<bool> check_ended(endpoint_run run);
 
+    /// Whether the run of an endpoint has ended although it was not leaving. The end of a
+    /// connection does not show whether an answer without a length is complete; this does, for an
+    /// endpoint that was killed. One that does not answer in time counts as running.
+    boost::asio::awaitable<bool> check_killed(endpoint_run run);
+
     /// Layers that the endpoint holds, by its membership entry or by a newer report.
     layer_range layers_of(const endpoint_record& record) const;
 
