Revert "Retries: leave a quarter of the budget to streams that callers are reading"

An endpoint that ends breaks all its streams at once, at routers whose parts of the budget are small, while the budget of all routers together is not used up. That is the lead for the next try.

--- a/include/fulmaryard/retry_budget.hpp
+++ b/include/fulmaryard/retry_budget.hpp
@@ -1,8 +1,6 @@
 #ifndef FULMARYARD_RETRY_BUDGET_HPP
 #define FULMARYARD_RETRY_BUDGET_HPP
 
-#include <fulmaryard/retry_kind.hpp>
-
 #include <array>
 #include <chrono>
 #include <cstddef>
@@ -18,8 +16,8 @@
     std::uint64_t m_floor{10};   ///< Retries per 10 s that are allowed without any requests.
 };
 
-/// Limits retries to a percentage of the requests of the last 10 s, plus a floor. A part of them is
-/// left to continuations. Does no I/O. Not thread-safe.
+/// Limits retries to a percentage of the requests of the last 10 s, plus a floor. Does no I/O. Not
+/// thread-safe.
 class retry_budget
 {
 public:
@@ -28,9 +26,6 @@
     /// Sliding window in which requests and retries are counted.
     static constexpr std::chrono::seconds window{10};
 
-    /// One retry of this many is left to continuations; none of a smaller budget.
-    static constexpr std::uint64_t continuation_divisor = 4;
-
     explicit retry_budget(retry_budget_settings settings = {}) : m_settings(settings) {}
 
     /// Replaces the limits; requests and retries already counted are kept.
@@ -38,8 +33,8 @@
 
     void on_request(time_point now);
 
-    /// Takes one retry from the budget; false when what `kind` may use is used up.
-    bool try_retry(time_point now, retry_kind kind = retry_kind::continuation);
+    /// Takes one retry from the budget; false when it is used up.
+    bool try_retry(time_point now);
 
 private:
     /// Counts of one second of the window.
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -191,7 +191,7 @@
     if (m_attempts.size() != 1)
         return;
     const auto endpoint = m_core.choose_endpoint(m_accepted.m_service, m_tried_endpoints);
-    if (endpoint.empty() || !m_core.try_retry(m_accepted.m_service, retry_kind::restart))
+    if (endpoint.empty() || !m_core.try_retry(m_accepted.m_service))
         return;
     start_attempt(endpoint);
 }
@@ -237,7 +237,7 @@
     if (m_history.may_have_run() && !idempotent())
         return false;
     return m_history.count() < m_accepted.m_route.m_max_attempts &&
-           m_core.try_retry(m_accepted.m_service, retry_kind::restart);
+           m_core.try_retry(m_accepted.m_service);
 }
 
 asio::awaitable<plain_session::attempt_outcome> plain_session::run_attempt(plain_attempt& attempt)
@@ -256,7 +256,7 @@
     // If the pooled connection was closed, sends an idempotent call again on a new connection. The
     // endpoint may have received the first one, so this counts as a retry.
     if (connection_stale && idempotent() && !stopped(attempt) && steady::now() < m_latest_answer &&
-        m_core.try_retry(m_accepted.m_service, retry_kind::restart))
+        m_core.try_retry(m_accepted.m_service))
         end = co_await send_and_receive(attempt, false, connection_stale);
     co_return end;
 }
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -18,7 +18,7 @@
     ++counts_at(now).m_requests;
 }
 
-bool retry_budget::try_retry(time_point now, retry_kind kind)
+bool retry_budget::try_retry(time_point now)
 {
     auto& current = counts_at(now);
     std::uint64_t requests = 0;
@@ -30,10 +30,7 @@
         requests += past.m_requests;
         retries += past.m_retries;
     }
-    std::uint64_t limit = requests * m_settings.m_percent / 100 + m_settings.m_floor;
-    if (kind == retry_kind::restart)
-        limit -= limit / continuation_divisor;
-    if (retries >= limit)
+    if (retries >= requests * m_settings.m_percent / 100 + m_settings.m_floor)
         return false;
     ++current.m_retries;
     return true;
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -304,7 +304,7 @@
     m_retry_budgets[service].on_request(std::chrono::steady_clock::now());
 }
 
-bool router_core::try_retry(const std::string& service, retry_kind kind)
+bool router_core::try_retry(const std::string& service)
 {
     // All routers share the slack in equal parts. A router that does not know their number assumes
     // a large one. After a restart it does not know which retries it used before, so its part grows
@@ -318,13 +318,11 @@
     auto& budget = m_retry_budgets[service];
     budget.set(
         {m_settings.m_retry_percent, std::max(min_slack, static_cast<std::uint64_t>(slack))});
-    const bool granted = budget.try_retry(std::chrono::steady_clock::now(), kind);
+    const bool granted = budget.try_retry(std::chrono::steady_clock::now());
     m_metrics
         .counter(
             granted ? "fulmaryard_router_retries_total" : "fulmaryard_router_retries_denied_total",
-            fmt::format(
-                "service=\"{}\",kind=\"{}\"", service,
-                kind == retry_kind::restart ? "restart" : "continuation"))
+            fmt::format("service=\"{}\"", service))
         .add();
     return granted;
 }
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -148,8 +148,8 @@
     /// Records the pace that an endpoint reported to this process (`own`) or to another router.
     void record_pace(const std::string& id, double slowdown, bool own);
 
-    /// Takes one retry from the budget of `service`; false when what `kind` may use is exhausted.
-    bool try_retry(const std::string& service, retry_kind kind);
+    /// Takes one retry from the budget of `service`; false when the budget is exhausted.
+    bool try_retry(const std::string& service);
     void count_request(const std::string& service);
 
     std::uint64_t random_value() { return m_random(); }
--- a/src/stream_attempts.cpp
+++ b/src/stream_attempts.cpp
@@ -197,7 +197,7 @@
         else
             response = status;
         if (response.ok() || !reused || !m_accepted.m_route.m_resumable || stopped(attempt) ||
-            !m_core.try_retry(m_accepted.m_service, kind_of_retry()))
+            !m_core.try_retry(m_accepted.m_service))
             break;
         log_event(log_level::info, "request_sent_again")
             .with("request", m_accepted.m_call.m_id)
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -163,7 +163,7 @@
     avoided.insert(m_refused_by.begin(), m_refused_by.end());
     avoided.insert(m_leader->m_run.m_endpoint);
     auto path = find_free_path(avoided);
-    if (path.empty() || !m_core.try_retry(m_accepted.m_service, retry_kind::restart))
+    if (path.empty() || !m_core.try_retry(m_accepted.m_service))
         return;
     m_core.m_metrics.counter("fulmaryard_router_takeovers_total").add();
     log_event(log_level::info, "takeover_started")
@@ -501,12 +501,7 @@
         return "route limit";
     if (end == attempt_outcome::unreachable)
         return "";
-    return m_core.try_retry(m_accepted.m_service, kind_of_retry()) ? "" : "retry budget";
-}
-
-retry_kind stream_session::kind_of_retry() const
-{
-    return m_event_count > 0 ? retry_kind::continuation : retry_kind::restart;
+    return m_core.try_retry(m_accepted.m_service) ? "" : "retry budget";
 }
 
 std::chrono::milliseconds stream_session::max_queueing_time() const
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -144,8 +144,6 @@
     /// Why no further attempt may follow one that ended with `end`; empty if one may. Takes it from
     /// the retry budget then.
     std::string_view retry_denial(attempt_outcome end);
-    /// What a retry after the end of all attempts is for.
-    retry_kind kind_of_retry() const;
     /// Reserves capacity on `path` for an attempt. The endpoints in `prefilling` have to prefill
     /// the current context.
     void
