Entry: answer the requests that are left at its drain limit

Callers of a stopping entry saw their connection closed without a byte of an answer if a completion without events was still being produced, or still queued, when the drain limit passed.

Cause: shortly before the limit the entry ended only its plain calls. Model streams and requests in the admission queue were left to the exit.

0.2 s before the limit, after new requests are refused, the entry refuses what is queued (503 draining, not run) and ends every model stream on its own strand. The outcome follows from what the stages answered: 503 draining if none ran it, 504 deadline_exceeded if one accepted it, 504 outcome_unknown if it was sent and not answered. The stages are cancelled. This is repeated each 10 ms, so that a request which becomes a stream meanwhile is ended as well. Streams of events that all stages have accepted run on to the limit and are cut there without an end, as before: the stages keep them for 10 s, and cancelling them would take from the callers the possibility to continue them elsewhere.

The 503 draining and 504 outcome_unknown of a stream that was sent and not accepted have no test.

--- a/include/fulmaryard/stream_owner.hpp
+++ b/include/fulmaryard/stream_owner.hpp
@@ -74,6 +74,10 @@
     /// from the responses of the stages.
     actions fail(failure_kind kind, std::string_view message);
 
+    /// Ends the stream because the process exits. The kind of the failure follows from its outcome:
+    /// `draining` if the stream has not run, else `deadline_exceeded` or `outcome_unknown`.
+    actions end_for_exit();
+
     /// Cancels the stream on all stages because the caller has disconnected.
     actions cancel();
 
--- a/src/admission_gate.cpp
+++ b/src/admission_gate.cpp
@@ -20,6 +20,8 @@
 // runs.
 constexpr std::size_t streams_per_batch_slot = 2;
 
+constexpr std::chrono::seconds exit_retry_after{1};
+
 } // namespace
 
 admission_gate::admission_gate(admission_settings settings) : m_controller(settings) {}
@@ -77,6 +79,21 @@
     deliver(m_controller.on_tick(now));
 }
 
+void admission_gate::refuse_queued()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = std::chrono::steady_clock::now();
+    admission_controller::decisions refused;
+    for (const auto& [ticket, decided] : m_pending)
+    {
+        refused.push_back(
+            {ticket, make_failure(failure_kind::draining, "the process exits"), exit_retry_after});
+    }
+    deliver(refused);
+    for (const auto& decision : refused)
+        m_controller.release(decision.m_ticket, now);
+}
+
 void admission_gate::on_first_token(std::chrono::nanoseconds since_admission)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/admission_gate.hpp
+++ b/src/admission_gate.hpp
@@ -40,6 +40,9 @@
     /// equal part of it.
     void on_tick(std::size_t total_batch_limit);
 
+    /// Refuses all requests that are queued, because the process exits.
+    void refuse_queued();
+
     /// See `admission_controller`, also for the functions below.
     void on_first_token(std::chrono::nanoseconds since_admission);
 
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -56,9 +56,10 @@
 /// balancer keeps sending them until its next check of `/readyz`, and requests already on their way
 /// must get a response. Covers two checks at an interval of one second.
 constexpr std::chrono::milliseconds min_drain_time{2000};
-/// Part of the drain limit that is reserved for answers to the calls that are still open then.
+/// Part of the drain limit that is reserved for answers to the requests that are still open then.
 constexpr std::chrono::milliseconds final_answer_time{200};
-/// A repeatable call that is ended may be sent to another side process, and is then ended again.
+/// A repeatable call that is ended may be sent to another side process, and is then ended again; a
+/// request may become a stream after the streams were ended.
 constexpr std::chrono::milliseconds final_answer_interval{10};
 constexpr std::size_t max_peer_body_bytes = 4 * 1024 * 1024;
 constexpr std::size_t max_dumped_endpoints = 1000;
@@ -249,7 +250,7 @@
     asio::awaitable<void> tick();
     asio::awaitable<void> wait_for_signal();
     asio::awaitable<void> drain();
-    void end_open_calls();
+    void end_open_requests();
     void refresh_index();
 
     std::shared_ptr<const fulmaryard::configuration> m_indexed_configuration;
@@ -552,12 +553,12 @@
         timer.expires_after(tick_interval);
         co_await timer.async_wait(use_tuple);
     }
-    // New requests are refused before the open calls are ended, so that no call is taken and ended
-    // at once.
+    // New requests are refused before the open ones are ended, so that none is taken and ended at
+    // once. Streams of events last until the exit; their callers continue them at another entry.
     m_services->m_rejecting_requests = true;
     while (m_callers.active_exchanges() > 0 && std::chrono::steady_clock::now() < started + limit)
     {
-        end_open_calls();
+        end_open_requests();
         timer.expires_after(final_answer_interval);
         co_await timer.async_wait(use_tuple);
     }
@@ -569,9 +570,12 @@
     m_io.stop();
 }
 
-/// Completes the calls that side processes have not answered, with an unknown outcome.
-void entry_process::impl::end_open_calls()
+/// Refuses queued requests, ends streams whose callers can't continue them at another entry, and
+/// completes the calls that side processes have not answered, with an unknown outcome.
+void entry_process::impl::end_open_requests()
 {
+    m_services->m_gate->refuse_queued();
+    m_services->m_streams.end_for_exit();
     const auto view = m_services->m_directory.published().load();
     for (const auto& known : view->m_endpoints)
         m_services->m_calls.fail_peer(known.m_address);
--- a/src/model_dispatch.cpp
+++ b/src/model_dispatch.cpp
@@ -168,7 +168,8 @@
                 co_return planned.status();
         }
         stream = std::make_shared<model_stream>(
-            m_services, m_exchange.executor(), m_request, *stages, m_context.m_arrived);
+            m_services, m_exchange.executor(), m_request, *stages, m_context.m_arrived,
+            m_context.m_completion->m_stream);
         stream->start(std::move(planned->m_stages), admitted.m_lease);
         co_return absl::OkStatus();
     }
@@ -228,7 +229,8 @@
         m_request.m_priority = attached->m_priority;
         m_received_tokens = locator->m_next_index;
         stream = std::make_shared<model_stream>(
-            m_services, m_exchange.executor(), m_request, *stages, m_context.m_arrived);
+            m_services, m_exchange.executor(), m_request, *stages, m_context.m_arrived,
+            m_context.m_completion->m_stream);
         stream->start_attached(*attached, locator->m_next_index, admitted.m_lease);
         m_services->m_metrics.m_attached_streams.add();
         co_return absl::OkStatus();
--- a/src/model_stream.cpp
+++ b/src/model_stream.cpp
@@ -35,13 +35,14 @@
 
 model_stream::model_stream(
     std::shared_ptr<entry_services> services, asio::any_io_executor strand, stream_request request,
-    pipeline_definition pipeline, time_point arrived)
+    pipeline_definition pipeline, time_point arrived, bool sends_events)
     : m_services(std::move(services)),
       m_strand(std::move(strand)),
       m_request(std::move(request)),
       m_pipeline(std::move(pipeline)),
       m_progress_timer(m_strand),
       m_tick_timer(m_strand),
+      m_sends_events(sends_events),
       m_arrived(arrived)
 {
 }
@@ -136,6 +137,16 @@
         });
 }
 
+void model_stream::end_for_exit()
+{
+    post(
+        [](model_stream& self)
+        {
+            if (!self.m_sends_events || !self.m_owner->all_stages_accepted())
+                self.run(self.m_owner->end_for_exit());
+        });
+}
+
 void model_stream::run(stream_owner::actions actions)
 {
     std::deque<owner_action> queue(
--- a/src/model_stream.hpp
+++ b/src/model_stream.hpp
@@ -25,15 +25,16 @@
 struct entry_services;
 
 /// Runs a `stream_owner` on a strand: executes its actions and buffers tokens until the caller's
-/// coroutine consumes them. `on_message`, `on_peer_connected`, `on_peer_down` and `on_replaced` may
-/// be called on any thread, all other functions only on the strand.
+/// coroutine consumes them. `on_message`, `on_peer_connected`, `on_peer_down`, `on_replaced` and
+/// `end_for_exit` may be called on any thread, all other functions only on the strand.
 class model_stream : public std::enable_shared_from_this<model_stream>
 {
 public:
+    /// `sends_events` tells that the caller gets event ids, with which it can continue elsewhere.
     model_stream(
         std::shared_ptr<entry_services> services, boost::asio::any_io_executor strand,
         stream_request request, pipeline_definition pipeline,
-        std::chrono::steady_clock::time_point arrived);
+        std::chrono::steady_clock::time_point arrived, bool sends_events);
     ~model_stream();
 
     model_stream(const model_stream&) = delete;
@@ -52,6 +53,10 @@
     /// Ends this object because another owner in this process has taken over the stream.
     void on_replaced();
 
+    /// Ends the stream because the process exits, unless its caller can continue it at another
+    /// entry. Its result says whether it may have run.
+    void end_for_exit();
+
     /// Tokens not yet delivered to the caller, and the state of the stream after them.
     struct progress
     {
@@ -99,6 +104,7 @@
     boost::asio::steady_timer m_tick_timer;
     std::vector<token> m_pending_tokens;
     std::uint32_t m_next_index{0};
+    bool m_sends_events;
     bool m_ended{false};
     bool m_disconnected{false};
     /// A stage refusal is being processed. A replacement is then a retry unless the stream has run.
--- a/src/stream_owner.cpp
+++ b/src/stream_owner.cpp
@@ -26,6 +26,8 @@
 // default, an owner makes at most 16 replacements, each with a new plan.
 constexpr unsigned plan_number_bits = 16;
 
+constexpr std::string_view exit_message = "the process exits before the answer is complete";
+
 enum class stream_phase : std::uint8_t
 {
     opening,    ///< At least one stage has not accepted the plan yet.
@@ -217,6 +219,20 @@
         m_actions.emplace_back(fail_stream{make_failure(kind, message, progress())});
     }
 
+    void end_for_exit()
+    {
+        switch (decide_outcome(progress()))
+        {
+        case outcome::not_run:
+            return fail(failure_kind::draining, exit_message);
+        case outcome::failed:
+            return fail(failure_kind::deadline_exceeded, exit_message);
+        case outcome::unknown:
+            break;
+        }
+        fail(failure_kind::outcome_unknown, exit_message);
+    }
+
     // ---- messages
 
     bool is_process_of_stage(std::size_t stage, const hello& from) const
@@ -498,6 +514,12 @@
     return m_state->take_actions();
 }
 
+stream_owner::actions stream_owner::end_for_exit()
+{
+    m_state->end_for_exit();
+    return m_state->take_actions();
+}
+
 stream_owner::actions stream_owner::cancel()
 {
     if (!m_state->ended())
--- a/src/stream_registry.cpp
+++ b/src/stream_registry.cpp
@@ -117,6 +117,12 @@
         stream->on_peer_down(address);
 }
 
+void stream_registry::end_for_exit()
+{
+    for (const auto& stream : live_streams())
+        stream->end_for_exit();
+}
+
 std::size_t stream_registry::size() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/stream_registry.hpp
+++ b/src/stream_registry.hpp
@@ -43,6 +43,9 @@
     void on_peer_connected(const hello& peer);
     void on_peer_down(const std::string& address);
 
+    /// See `model_stream::end_for_exit`. A stream that is added later is not ended.
+    void end_for_exit();
+
     std::size_t size() const;
 
 private:
