HTTP server: a request counts as in progress from its first byte

A whole request could be read and then get neither an answer nor a refusal, without a line in the log: requests counted from the call of their handler on. A draining router that had been held up, for example by a large change of the configuration, read the requests that had arrived and put their completions behind its own timer, which found nothing in progress and ended the event loop.

A request counts from its first byte to the end of its response now, in routers, entries and side processes. A router exits only after four ticks in a row without one, since one pass of the event loop does not read all sockets.

The ticks of the drain have no test.

--- a/include/fulmaryard/http_server.hpp
+++ b/include/fulmaryard/http_server.hpp
@@ -70,7 +70,8 @@
     /// it. New connections are still accepted.
     void disable_keep_alive();
 
-    /// Returns the number of requests in progress.
+    /// Returns the number of requests in progress, from their first byte to the end of their
+    /// response.
     std::size_t active_exchanges() const;
 
 private:
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -263,8 +263,7 @@
     co_return error;
 }
 
-/// Counts a request as in progress during the lifetime of the object, so that the count is also
-/// correct if the handler throws.
+/// Counts a request as in progress during the lifetime of the object.
 class active_exchange_guard
 {
 public:
@@ -439,6 +438,9 @@
                 break;
             buffer.commit(size);
         }
+        // Counts from the first byte on: a process that stops when nothing is in progress must not
+        // leave a request behind that was read but not handed over.
+        const active_exchange_guard guard(m_active_exchanges);
         const beast::error_code error =
             co_await read_request(stream, deadline, buffer, parser, m_limits.m_request_deadline);
         if (error)
@@ -458,7 +460,6 @@
         connection_exchange exchange(
             stream, deadline, connection, std::move(request), message.keep_alive(),
             m_limits.m_write_deadline, m_keep_alive_disabled);
-        const active_exchange_guard guard(m_active_exchanges);
         std::exception_ptr failure;
         try
         {
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -60,6 +60,10 @@
 // readiness twice. Later only requests that end before the process exits are served.
 constexpr std::chrono::milliseconds min_drain_time{2'500};
 
+// Number of ticks in a row without a request after which a draining process exits. After it was
+// held up, one pass of the event loop does not read all requests that have arrived.
+constexpr int min_idle_ticks = 4;
+
 // Requests are ended this long before SIGKILL.
 constexpr std::chrono::milliseconds exit_margin_before_kill{400};
 
@@ -659,11 +663,13 @@
         m_exit_deadline = exit_deadline(start);
         m_caller_server.disable_keep_alive();
         asio::steady_timer timer(m_io);
+        int idle_ticks = 0;
         while (steady::now() < m_exit_deadline)
         {
             // A load balancer that has no other router in the failure domain keeps sending here.
             m_refuses_long_requests = steady::now() >= start + min_drain_time;
-            if (m_refuses_long_requests && m_caller_server.active_exchanges() == 0)
+            idle_ticks = m_caller_server.active_exchanges() == 0 ? idle_ticks + 1 : 0;
+            if (m_refuses_long_requests && idle_ticks >= min_idle_ticks)
                 break;
             timer.expires_after(tick_interval);
             co_await timer.async_wait(use_tuple);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -170,6 +170,37 @@
     CHECK(run_until_answered(io, answered) == std::to_string(callers));
 }
 
+TEST_CASE("a request that was read but not handed to its handler counts as in progress")
+{
+    // Guards against a process that stops between the two, so that the request gets no answer.
+    asio::io_context io;
+    http_server server(
+        io, {},
+        [](http_exchange& exchange) -> asio::awaitable<void>
+        {
+            http_response response{200, {}, {}};
+            std::ignore = co_await exchange.respond(std::move(response));
+        });
+    const auto port = server.listen("127.0.0.1:0");
+    REQUIRE(port.ok());
+    std::vector<std::unique_ptr<blocking_caller>> connections;
+    for (int i = 0; i < 100; ++i)
+    {
+        connections.push_back(std::make_unique<blocking_caller>(*port));
+        io.poll();
+    }
+    std::size_t in_progress = 0;
+    asio::steady_timer stop(io, steady::now() + 10ms);
+    stop.async_wait([&](const boost::system::error_code&)
+                    { in_progress = server.active_exchanges(); });
+    for (const auto& connection : connections)
+        connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(30ms);
+    io.restart();
+    io.run_for(50ms);
+    CHECK(in_progress > 0);
+}
+
 TEST_CASE("a request whose bytes never stop")
 {
     // Guards against a caller who holds a connection past its time limit.
