HTTP server: a response that cannot be written is answered with 500

A response counted as begun before it was assembled. If that failed, the caller got a closed connection instead of the 500 for a failed handler. It begins now with its first byte.

Test, section "as its response cannot be written is answered with 500" (a 204 with a body): failed before, passes.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -79,12 +79,12 @@
 
     asio::awaitable<absl::Status> respond(http_response response) override
     {
-        m_response_started = true;
         http::response<http::string_body> message(static_cast<http::status>(response.m_status), 11);
         set_fields(message, response.m_fields);
         message.body() = std::move(response.m_body);
         message.keep_alive(m_keep_alive = m_keep_alive && !m_keep_alive_disabled);
         message.prepare_payload();
+        m_response_started = true;
         start_write();
         const auto [error, written] = co_await http::async_write(m_stream, message, use_tuple);
         co_return finish_write(error);
@@ -100,12 +100,12 @@
 
     asio::awaitable<absl::Status> begin_chunked(http_response head) override
     {
-        m_response_started = true;
         http::response<http::empty_body> message(static_cast<http::status>(head.m_status), 11);
         set_fields(message, head.m_fields);
         message.chunked(true);
         message.keep_alive(m_keep_alive = m_keep_alive && !m_keep_alive_disabled);
         http::response_serializer<http::empty_body> serializer(message);
+        m_response_started = true;
         start_write();
         const auto [error, written] =
             co_await http::async_write_header(m_stream, serializer, use_tuple);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -81,10 +81,16 @@
     // Guards against a whole request that gets neither an answer nor a refusal.
     asio::io_context io;
     bool began = false;
+    bool malformed = false;
     http_server server(
         io, {},
         [&](http_exchange& exchange) -> asio::awaitable<void>
         {
+            if (malformed)
+            {
+                http_response response{204, {}, "a body that this status does not allow"};
+                std::ignore = co_await exchange.respond(std::move(response));
+            }
             if (began)
             {
                 http_response head{200, {}, {}};
@@ -111,6 +117,11 @@
     {
         CHECK(request().starts_with("HTTP/1.1 500 "));
     }
+    SUBCASE("as its response cannot be written is answered with 500")
+    {
+        malformed = true;
+        CHECK(request().starts_with("HTTP/1.1 500 "));
+    }
     SUBCASE("in the middle of its response gets no end that looks complete")
     {
         began = true;
