Streams: a whole answer is ended whole during a stop

The check for a stopped attempt now follows the question to the endpoint only, and asks whether another attempt leads or the caller has left. No test of its own.

--- a/src/stream_attempts.cpp
+++ b/src/stream_attempts.cpp
@@ -355,10 +355,13 @@
         co_return break_off_attempt(attempt, "the answer ends within an event");
     if (attempt.m_events == 0 && attempt.m_channel->ends_with_connection())
         co_return break_off_attempt(attempt, "the answer ends before an event");
-    if (attempt.m_channel->ends_with_connection() && co_await m_core.check_killed(attempt.m_run))
-        co_return break_off_attempt(attempt, "the endpoint ended with its answer");
-    if (stopped(attempt))
-        co_return attempt_outcome::broken;
+    if (attempt.m_channel->ends_with_connection())
+    {
+        if (co_await m_core.check_killed(attempt.m_run))
+            co_return break_off_attempt(attempt, "the endpoint ended with its answer");
+        if (&attempt != m_leader || m_client_disconnected)
+            co_return attempt_outcome::broken;
+    }
     m_core.m_channels.put(std::move(attempt.m_channel), steady::now());
     if (!m_responded)
     {
