--- a/include/fulmaryard/stream_durations.hpp
+++ b/include/fulmaryard/stream_durations.hpp
@@ -42,6 +42,9 @@
     /// Newest answers of a route that an estimate rests on.
     static constexpr std::size_t max_answers = 128;
 
+    /// Longest estimate. Callers announce any number of tokens.
+    static constexpr std::chrono::milliseconds max_duration{std::chrono::hours(24)};
+
     /// Routes that are kept; those whose last answer is oldest are forgotten.
     static constexpr std::size_t max_routes = 256;
 
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -158,8 +158,8 @@
     /// together.
     std::chrono::steady_clock::duration random_spread(std::chrono::steady_clock::duration most);
 
-    /// Whether requests that this router refuses may be served by another one.
-    bool has_other_routers() const { return m_router_count != 1; }
+    /// Whether another router is known, which may serve requests that this one refuses.
+    bool has_other_routers() const { return m_router_count > 1; }
 
     /// When a call that is refused because this router stops should be tried again. Other routers
     /// have room for it; the time keeps callers of this one from arriving together.
--- a/src/stream_durations.cpp
+++ b/src/stream_durations.cpp
@@ -51,7 +51,9 @@
     std::nth_element(
         durations_ms.begin(), found,
         durations_ms.begin() + static_cast<std::ptrdiff_t>(answers.size()));
-    const std::chrono::milliseconds duration(static_cast<std::int64_t>(std::ceil(*found)));
+    const double duration_ms =
+        std::min(std::ceil(*found), static_cast<double>(max_duration.count()));
+    const std::chrono::milliseconds duration(static_cast<std::int64_t>(duration_ms));
     const bool settled = now - known->second.m_first_start >= 2 * duration;
     return duration_estimate{duration, answers.size(), settled};
 }
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -307,8 +307,8 @@
         return false;
     const auto now = steady::now();
     const auto expected = expected_duration(path);
-    m_outlasts_router = expected ? now + expected->m_duration > m_accepted.m_shutdown_deadline
-                                 : m_accepted.m_end > m_accepted.m_shutdown_deadline;
+    m_outlasts_router = m_accepted.m_end > m_accepted.m_shutdown_deadline &&
+                        (!expected || now + expected->m_duration > m_accepted.m_shutdown_deadline);
     if (!m_outlasts_router)
         return false;
     m_core.m_metrics.counter("fulmaryard_router_stop_refusals_total").add();
@@ -348,8 +348,10 @@
     const auto max_tokens = static_cast<double>(m_accepted.m_call.m_max_answer_tokens);
     if (!has_pipeline() || max_tokens == 0)
         return std::nullopt;
-    const std::chrono::milliseconds bound(
-        static_cast<std::int64_t>(max_token_time_ratio * max_tokens * plan.m_token_ms));
+    const auto bound_ms = std::min(
+        max_token_time_ratio * max_tokens * plan.m_token_ms,
+        static_cast<double>(stream_durations::max_duration.count()));
+    const std::chrono::milliseconds bound(static_cast<std::int64_t>(bound_ms));
     const duration_estimate computed{bound + late_prefill_wait, 0, false};
     return known ? std::max(*known, computed) : computed;
 }
@@ -543,13 +545,14 @@
     wait_queue::waiting_request request{
         m_id, m_is_retry || !is_first_attempt, m_accepted.m_priority, m_tokens,
         std::min(start + max_queueing_time(), m_accepted.m_end - response_margin)};
-    if (m_core.m_wait_queue.empty() || !is_first_attempt)
+    const bool stopping = m_accepted.m_shutdown_deadline != time_point::max();
+    if (m_core.m_wait_queue.empty() || !is_first_attempt || stopping)
     {
         auto path = find_free_path(m_excluded_first_endpoints);
         if (!path.empty())
             co_return path;
     }
-    if (m_accepted.m_shutdown_deadline != time_point::max())
+    if (stopping && is_first_attempt)
         co_return none;
     if (m_ended || (is_first_attempt && !m_core.m_wait_queue.may_wait(request, start)))
         co_return none;
@@ -600,7 +603,7 @@
 {
     const auto now = steady::now();
     std::chrono::milliseconds retry_after{0};
-    if (m_accepted.m_shutdown_deadline != time_point::max())
+    if (m_outlasts_router && m_core.has_other_routers())
         retry_after = m_core.stop_retry_after();
     else if (has_pipeline())
     {
--- a/tests/process/streams_at_stop_test.cpp
+++ b/tests/process/streams_at_stop_test.cpp
@@ -12,8 +12,8 @@
 {
 
 /// A stream whose events come at an interval of about 15 ms, sent to `router`.
-std::future<absl::StatusOr<http_response>>
-send_stream(const router_system& system, const std::string& router, std::string id, int events)
+std::future<absl::StatusOr<http_response>> send_stream(
+    const router_system& system, const std::string& router, const std::string& id, int events)
 {
     auto request = router_system::make_request("POST", "/chat/1", id);
     request.m_fields[1].m_value = "30000";
@@ -59,6 +59,7 @@
     for (int round = 0; round < 7; ++round)
     {
         std::vector<std::future<absl::StatusOr<http_response>>> before;
+        before.reserve(5);
         for (int i = 0; i < 5; ++i)
         {
             before.push_back(send_stream(
--- a/tests/unit/stream_durations_test.cpp
+++ b/tests/unit/stream_durations_test.cpp
@@ -63,6 +63,13 @@
         CHECK(durations.estimate("r", {10, 200}, long_after)->m_duration == 4100ms);
         CHECK(durations.estimate("r", {10, 50}, long_after)->m_duration == 2100ms);
     }
+    SUBCASE("is bounded, whatever length a caller announces")
+    {
+        record(durations, 40, 100ms, 2s);
+        CHECK(
+            durations.estimate("r", {1e18, 100}, long_after)->m_duration ==
+            stream_durations::max_duration);
+    }
     SUBCASE("rests on the newest answers")
     {
         record(durations, stream_durations::max_answers, 100ms, 2s);
