Routers: requests that arrive as the grace ends are refused or ended

Found by the review, by reading: sessions were ended once, 0.4 s before the kill, but requests were still taken for 0.2 s. One that then waited for an endpoint, or a plain call with a grace under 2.9 s, was open when the event loop stopped, and got neither an answer nor a refusal. Sessions are ended again each tick now, and what may outlast the router is refused from there on.

--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -675,11 +675,13 @@
             co_await timer.async_wait(use_tuple);
         }
         // The callers that are left learn what became of their requests; new ones are refused.
-        for (auto* session : m_core.m_open_sessions)
-            session->end();
+        m_refuses_long_requests = true;
         const auto exit = m_exit_deadline + final_answer_time;
         while (m_caller_server.active_exchanges() > 0 && steady::now() < exit)
         {
+            // Also those that were read meanwhile and wait for an endpoint.
+            for (auto* session : m_core.m_open_sessions)
+                session->end();
             timer.expires_after(tick_interval);
             co_await timer.async_wait(use_tuple);
         }
