Streams: a stopping router also counts the announced length

Its route's expectation is exceeded by two streams in a hundred, and replaced the bound from the announced length that was asked before.

Where a length is announced, the larger of the expectation and that bound decides. process.streams_at_stop passes (209 checks); the file's lint too.

--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -343,11 +343,10 @@
 {
     const auto plan = plan_answer(path);
     const auto known = m_core.m_stream_durations.estimate(route_key(), plan, steady::now());
-    if (known && known->m_settled)
-        return known;
     const auto max_tokens = static_cast<double>(m_accepted.m_call.m_max_answer_tokens);
     if (!has_pipeline() || max_tokens == 0)
-        return std::nullopt;
+        return known && known->m_settled ? known : std::nullopt;
+    // A few streams last longer than the estimate, so the announced length counts as well.
     const auto bound_ms = std::min(
         max_token_time_ratio * max_tokens * plan.m_token_ms,
         static_cast<double>(stream_durations::max_duration.count()));
