--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -14,7 +14,9 @@
 #include <algorithm>
 #include <charconv>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -167,6 +169,15 @@
     return 0;
 }
 
+std::size_t child_process::open_descriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator descriptors(
+        "/proc/" + std::to_string(m_pid) + "/fd", error);
+    return error ? 0
+                 : static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
 std::string child_process::output() const
 {
     const std::string all = read_file(m_log + ".out");
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -48,6 +48,9 @@
     /// exited.
     std::size_t memory_kilobytes(const std::string& field) const;
 
+    /// Returns the number of open file descriptors; 0 if the process has exited.
+    std::size_t open_descriptors() const;
+
     /// Returns the standard output of this process, without that of earlier runs.
     std::string output() const;
 
--- a/tests/process/scripted_endpoint.cpp
+++ b/tests/process/scripted_endpoint.cpp
@@ -7,6 +7,8 @@
 
 #include <sys/socket.h>
 
+#include <array>
+
 namespace fulmaryard::process_tests
 {
 
@@ -137,9 +139,8 @@
         const std::size_t body = length.empty() ? 0 : std::stoul(length);
         while (!error && received.size() < body)
         {
-            char byte = 0;
-            socket.read_some(asio::buffer(&byte, 1), error);
-            received += byte;
+            std::array<char, 16 * 1024> bytes{};
+            received.append(bytes.data(), socket.read_some(asio::buffer(bytes), error));
         }
         received.erase(0, body);
         reply answer;
