--- a/include/fulmaryard/router_settings.hpp
+++ b/include/fulmaryard/router_settings.hpp
@@ -23,6 +23,8 @@
     std::uint32_t m_grace_ms{8000};    ///< Time from SIGTERM to SIGKILL, milliseconds.
     std::uint32_t m_retry_percent{18}; ///< Retries per hundred requests.
     std::uint32_t m_retry_slack{40};   ///< Additional retries per 10 s, for all routers together.
+    /// Second attempts for late answers per hundred requests; 0: none.
+    std::uint32_t m_hedge_percent{0};
     std::uint32_t m_max_connections{3500}; ///< Connections from callers.
     /// Bytes of endpoints' answers that are held until they can be passed on, for all requests
     /// together.
--- a/include/fulmaryard/stream_durations.hpp
+++ b/include/fulmaryard/stream_durations.hpp
@@ -34,7 +34,7 @@
     };
 
     /// Share of the streams of a route that last no longer than its estimate.
-    static constexpr double quantile = 0.98;
+    static constexpr double default_quantile = 0.98;
 
     /// Streams of a route that must have been answered before there is an estimate.
     static constexpr std::size_t min_answers = 30;
@@ -56,11 +56,13 @@
 
     /// Duration that a stream of the route is expected not to exceed, from its arrival on; nullopt
     /// while too little is known. Answers on slower paths than `planned` count as they were, those
-    /// on faster ones as they would have been. A process that has run for a short time has only
+    /// on faster ones as they would have been. `quantile` is the share of the streams that last no
+    /// longer. A process that has run for a short time has only
     /// seen streams that ended early, so an estimate is settled only once the streams of twice its
     /// length were seen.
-    std::optional<duration_estimate>
-    estimate(const std::string& route, const plan& planned, time_point now) const;
+    std::optional<duration_estimate> estimate(
+        const std::string& route, const plan& planned, time_point now,
+        double quantile = default_quantile) const;
 
 private:
     struct answer
--- a/include/fulmaryard/wait_queue.hpp
+++ b/include/fulmaryard/wait_queue.hpp
@@ -14,10 +14,12 @@
 /// Queue of requests that wait for endpoint capacity, and the retry delays of refused requests.
 ///
 /// A request waits only while it can still start within its objective. The wait is estimated from
-/// the rate at which recently ended requests released capacity. Requests that were refused or
-/// attempted before go first, then those of higher priority, then the older ones. The order is
-/// strict, so that small requests cannot starve a large one. Retry delays are spread at the rate at
-/// which capacity is released. Does no I/O. Not thread-safe.
+/// the rate at which recently ended requests released capacity, less what more urgent requests will
+/// take of it. Streams that their callers are reading go first, then the order is by priority, then
+/// requests that were refused or attempted before, then the older ones. The order is strict, so
+/// that small requests cannot starve a large one. Retry delays are spread at the rate at which
+/// capacity is released, for each priority behind those that are as urgent or more. Does no I/O.
+/// Not thread-safe.
 class wait_queue
 {
 public:
@@ -26,6 +28,7 @@
     struct waiting_request
     {
         std::uint64_t m_id{0};
+        bool m_is_resumed{false};    ///< Its caller has a part of the answer.
         bool m_is_retry{false};      ///< Was refused, or attempted on an endpoint, before.
         std::uint32_t m_priority{0}; ///< 0 is the highest priority.
         double m_tokens{0};          ///< Tokens that the request will have when it ends.
@@ -44,8 +47,13 @@
 
     /// Returns whether a request may wait: it is expected to start by `m_latest_start`. The release
     /// rate is not known until `rate_window` after the first call; until then up to
-    /// `max_waiting_at_start` requests may wait.
-    bool may_wait(const waiting_request& request, time_point now);
+    /// `max_waiting_at_start` requests may wait. More urgent requests that arrive meanwhile take
+    /// `urgent_tokens_per_second` of what is released.
+    bool
+    may_wait(const waiting_request& request, time_point now, double urgent_tokens_per_second = 0);
+
+    /// Whether a request of this priority would go before all that wait, whatever their age.
+    bool goes_before_all(std::uint32_t priority) const;
 
     void add(const waiting_request& request);
     void remove(std::uint64_t id);
@@ -60,8 +68,10 @@
     void on_released(double tokens, time_point now);
 
     /// Returns the delay after which a request of `tokens` tokens, refused now, should be retried.
-    /// Each call schedules the retry after those of earlier calls, up to `max_retry_after`.
-    std::chrono::milliseconds assign_retry_after(double tokens, time_point now);
+    /// Each call schedules the retry after those of earlier calls with the same or a higher
+    /// priority, up to `max_retry_after`. `urgent_tokens_per_second` is as for `may_wait`.
+    std::chrono::milliseconds assign_retry_after(
+        double tokens, time_point now, std::uint32_t priority, double urgent_tokens_per_second = 0);
 
     bool empty() const { return m_waiting.empty(); }
     std::size_t size() const { return m_waiting.size(); }
@@ -69,8 +79,9 @@
 private:
     struct order_key
     {
-        bool m_first_attempt{false}; ///< Was neither refused nor attempted before; sorts last.
+        bool m_new_stream{true}; ///< Its caller has nothing of the answer; sorts last.
         std::uint32_t m_priority{0};
+        bool m_first_attempt{false}; ///< Was neither refused nor attempted before; sorts last.
         std::uint64_t m_id{0};
 
         friend auto operator<=>(const order_key&, const order_key&) = default;
@@ -81,12 +92,18 @@
         double m_tokens{0};
     };
 
+    static order_key key_of(const waiting_request& request)
+    {
+        return {!request.m_is_resumed, request.m_priority, !request.m_is_retry, request.m_id};
+    }
+
     /// Tokens per second that were released within `rate_window` before `now`.
     double released_tokens_per_second(time_point now) const;
 
     std::map<order_key, waiting_request> m_waiting;
     std::deque<release_sample> m_released;
-    time_point m_last_retry_time;                 ///< Retry time of the last refused request.
+    /// Retry time of the last refused request of each priority.
+    std::map<std::uint32_t, time_point> m_last_retry_times;
     std::optional<time_point> m_first_query_time; ///< Time of the first call of `may_wait`.
 };
 
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -150,6 +150,7 @@
 {
     const auto now = steady::now();
     m_second_attempt_at = now + (m_latest_answer - now) * second_attempt_percent / 100;
+    m_hedge_at = hedge_time();
     auto end = attempt_outcome::unknown;
     std::exception_ptr failure;
     while (!m_attempts.empty())
@@ -159,9 +160,12 @@
             [](const auto& attempt) { return attempt->m_outcome.has_value(); });
         if (ended == m_attempts.end())
         {
-            m_attempt_timer.expires_at(m_second_attempt_at);
+            const bool hedges = m_hedge_at && *m_hedge_at < m_second_attempt_at;
+            m_attempt_timer.expires_at(hedges ? *m_hedge_at : m_second_attempt_at);
             const auto [cancelled] = co_await m_attempt_timer.async_wait(use_tuple);
-            if (!cancelled)
+            if (!cancelled && hedges)
+                start_hedge();
+            else if (!cancelled)
                 start_second_attempt();
             continue;
         }
@@ -196,6 +200,43 @@
     start_attempt(endpoint);
 }
 
+std::string plain_session::route_key() const
+{
+    return m_accepted.m_route.m_host + m_accepted.m_route.m_path_prefix;
+}
+
+std::optional<accepted_call::time_point> plain_session::hedge_time() const
+{
+    const auto delay = m_core.m_hedges.delay(route_key());
+    if (!idempotent() || !delay || m_hedged)
+        return std::nullopt;
+    return m_accepted.m_arrival + *delay;
+}
+
+void plain_session::start_hedge()
+{
+    m_hedge_at.reset();
+    if (m_ended || m_client_disconnected || m_attempts.size() != 1 ||
+        m_attempt_count >= max_attempts || m_history.count() >= m_accepted.m_route.m_max_attempts)
+        return m_core.deny_hedge("call", "attempts");
+    const auto endpoint = m_core.choose_endpoint(m_accepted.m_service, m_tried_endpoints);
+    if (endpoint.empty() || m_core.m_plain_calls.contains(endpoint))
+        return m_core.deny_hedge("call", "no_endpoint");
+    if (!m_core.try_hedge(m_accepted.m_service, "call"))
+        return;
+    log_event(log_level::info, "call_hedged")
+        .with("request", m_accepted.m_call.m_id)
+        .with("first", m_endpoint)
+        .with("second", endpoint)
+        .with(
+            "after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                            steady::now() - m_accepted.m_arrival)
+                            .count());
+    m_hedged = true;
+    start_attempt(endpoint);
+    m_attempts.back()->m_is_hedge = true;
+}
+
 plain_session::attempt_outcome plain_session::remove_attempt(std::size_t index)
 {
     const auto attempt = std::move(m_attempts[index]);
@@ -208,6 +249,8 @@
         m_endpoint = attempt->m_run.m_endpoint;
         m_share.hold(attempt->m_response->m_body.size());
         m_last_response = std::move(attempt->m_response);
+        if (m_hedged && *attempt->m_outcome == attempt_outcome::answered)
+            m_core.count_hedge_end("call", attempt->m_is_hedge);
     }
     return *attempt->m_outcome;
 }
@@ -409,6 +452,8 @@
 void plain_session::log_end(std::string_view outcome) const
 {
     const auto now = steady::now();
+    if (outcome == "answered")
+        m_core.m_hedges.on_answer(route_key(), now - m_accepted.m_arrival);
     m_core.m_metrics
         .counter("fulmaryard_router_calls_total", fmt::format("outcome=\"{}\"", outcome))
         .add();
--- a/src/plain_session.hpp
+++ b/src/plain_session.hpp
@@ -54,6 +54,16 @@
     /// Starts a second attempt if the limits permit it and another endpoint is usable.
     void start_second_attempt();
 
+    /// When a second attempt should start because the answer is later than most; nullopt if there
+    /// should be none.
+    std::optional<accepted_call::time_point> hedge_time() const;
+
+    /// Starts such an attempt, if another endpoint has no call of this router.
+    void start_hedge();
+
+    /// Route of the call, as the key of what is known of its answers.
+    std::string route_key() const;
+
     /// Removes an attempt that has ended; returns how.
     attempt_outcome remove_attempt(std::size_t index);
 
@@ -101,6 +111,8 @@
     answer_share m_share;                                   ///< For its body.
     accepted_call::time_point m_latest_answer;              ///< In time to reach the caller.
     accepted_call::time_point m_second_attempt_at;          ///< When a second attempt may start.
+    std::optional<accepted_call::time_point> m_hedge_at;    ///< The same, for a late answer.
+    bool m_hedged{false};                                   ///< There was such an attempt.
     std::uint32_t m_send_count{0};    ///< How often the call was sent to an endpoint.
     std::uint32_t m_attempt_count{0}; ///< Attempts, including those that failed to connect.
     run_history m_history;            ///< Endpoints that the call was sent to.
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -22,6 +22,16 @@
 // Share of an endpoint's time that is spent on prefill; the rest goes to decoding.
 constexpr double prefill_time_share = 0.5;
 
+// Requests leave memory for the more urgent ones that arrive within this time at the rate of the
+// last seconds. The rate may double before enough of the running streams have ended.
+constexpr std::chrono::milliseconds kept_for{1'000};
+
+// Largest share of the memory that is kept for more urgent requests, so that the others are served.
+constexpr double max_kept_share = 0.25;
+
+// Endpoints and their layers change seldom, so their capacity is found once in this time.
+constexpr std::chrono::milliseconds capacity_lifetime{500};
+
 // Added to the cost of a path in another failure domain, in milliseconds per token, because its
 // answers use bandwidth between domains.
 constexpr double foreign_domain_cost_ms = 6;
@@ -47,6 +57,11 @@
 // capacity again.
 constexpr std::chrono::milliseconds refusal_retry_after{250};
 
+// Bounds of the Retry-After of a call that a stopping router refuses. Routers that stay have room
+// at once; the spread keeps the callers of this router from arriving together.
+constexpr std::chrono::milliseconds min_stop_retry_after{50};
+constexpr std::chrono::milliseconds stop_retry_spread{150};
+
 // Assumed number of routers that share a budget while the actual number is unknown.
 constexpr std::uint64_t default_router_count = 20;
 
@@ -301,7 +316,44 @@
 
 void router_core::count_request(const std::string& service)
 {
-    m_retry_budgets[service].on_request(std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    m_retry_budgets[service].on_request(now);
+    m_hedges.set_percent(m_settings.m_hedge_percent);
+    m_hedges.on_request(service, now);
+}
+
+bool router_core::try_hedge(const std::string& service, std::string_view kind)
+{
+    if (!m_hedges.try_hedge(service, std::chrono::steady_clock::now()))
+    {
+        deny_hedge(kind, "limit");
+        return false;
+    }
+    if (!try_retry(service))
+    {
+        deny_hedge(kind, "retry_budget");
+        return false;
+    }
+    m_metrics.counter("fulmaryard_router_hedges_total", fmt::format("kind=\"{}\"", kind)).add();
+    return true;
+}
+
+void router_core::deny_hedge(std::string_view kind, std::string_view cause)
+{
+    m_metrics
+        .counter(
+            "fulmaryard_router_hedges_denied_total",
+            fmt::format("kind=\"{}\",cause=\"{}\"", kind, cause))
+        .add();
+}
+
+void router_core::count_hedge_end(std::string_view kind, bool won)
+{
+    m_metrics
+        .counter(
+            "fulmaryard_router_hedges_ended_total",
+            fmt::format("kind=\"{}\",answered_by=\"{}\"", kind, won ? "second" : "first"))
+        .add();
 }
 
 bool router_core::try_retry(const std::string& service)
@@ -336,8 +388,8 @@
 
 std::chrono::milliseconds router_core::stop_retry_after()
 {
-    return refusal_retry_after + std::chrono::duration_cast<std::chrono::milliseconds>(
-                                     random_spread(refusal_retry_after));
+    return min_stop_retry_after +
+           std::chrono::duration_cast<std::chrono::milliseconds>(random_spread(stop_retry_spread));
 }
 
 std::chrono::milliseconds router_core::retry_after(const std::string& service)
@@ -442,8 +494,49 @@
     return total_ms;
 }
 
-std::vector<path_candidate>
-router_core::candidates(const routed_service& service, const std::set<std::string>& avoided) const
+double router_core::token_capacity(const routed_service& service) const
+{
+    const auto& engine = *service.m_engine;
+    const double bytes_per_layer = engine.m_kv_bytes_per_token / engine.m_layers;
+    std::map<std::string, std::vector<double>> domains;
+    for (const auto& [id, record] : m_membership.endpoints())
+    {
+        const auto* kind = engine.find_accelerator_kind(record.m_accelerator);
+        const auto layers = layers_of(record);
+        if (record.m_service != service.m_name || kind == nullptr || !usable(record) ||
+            layers.m_begin >= layers.m_end || layers.m_end > engine.m_layers)
+            continue;
+        const double held = layers.m_end - layers.m_begin;
+        const double free_mb = kind->m_memory_mb - held * engine.m_layer_mb;
+        auto& capacities = domains[record.m_failure_domain];
+        capacities.resize(engine.m_layers);
+        for (auto layer = layers.m_begin; layer < layers.m_end; ++layer)
+            capacities[layer] += free_mb * 1e6 * planned_memory_share / bytes_per_layer / held;
+    }
+    double total = 0;
+    for (const auto& [domain, capacities] : domains)
+        total += std::max(*std::min_element(capacities.begin(), capacities.end()), 0.0);
+    return total;
+}
+
+double router_core::kept_share(const routed_service& service, std::uint32_t priority)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const double rate = m_rank_demand[service.m_name].rate_above(priority, now);
+    if (rate <= 0)
+        return 0;
+    auto& [capacity, found_at] = m_token_capacities[service.m_name];
+    if (now - found_at > capacity_lifetime)
+    {
+        capacity = token_capacity(service);
+        found_at = now;
+    }
+    const double kept = rate * std::chrono::duration<double>(kept_for).count();
+    return capacity > 0 ? std::min(kept / capacity, max_kept_share) : max_kept_share;
+}
+
+std::vector<path_candidate> router_core::candidates(
+    const routed_service& service, const std::set<std::string>& avoided, double kept_share) const
 {
     const auto& engine = *service.m_engine;
     const auto now = std::chrono::steady_clock::now();
@@ -468,7 +561,8 @@
         candidate.m_failure_domain = record.m_failure_domain;
         candidate.m_layers = layers;
         candidate.m_free_token_layers =
-            free_mb * 1e6 * planned_memory_share / bytes_per_layer - use.m_kv_token_layers;
+            free_mb * 1e6 * planned_memory_share * (1 - kept_share) / bytes_per_layer -
+            use.m_kv_token_layers;
         const double prefill_layers_per_ms = engine.m_prefill_tokens_per_second * engine.m_layers /
                                              kind->m_prefill_factor /
                                              std::max(m_health.slowdown(id, now), 1.0) / 1e3;
@@ -488,9 +582,10 @@
 
 std::vector<path_hop> router_core::find_path(
     const routed_service& service, double tokens, double prefill_tokens,
-    std::chrono::milliseconds max_prefill_wait, const std::set<std::string>& avoided)
+    std::chrono::milliseconds max_prefill_wait, const std::set<std::string>& avoided,
+    double kept_share)
 {
-    const auto usable_candidates = candidates(service, avoided);
+    const auto usable_candidates = candidates(service, avoided, kept_share);
     path_query query;
     query.m_max_prefill_wait_ms = static_cast<double>(max_prefill_wait.count());
     query.m_layers = service.m_engine->m_layers;
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -13,12 +13,15 @@
 #include <fulmaryard/endpoint_reservations.hpp>
 #include <fulmaryard/endpoint_run.hpp>
 #include <fulmaryard/found_path.hpp>
+#include <fulmaryard/hedge_policy.hpp>
 #include <fulmaryard/known_versions.hpp>
 #include <fulmaryard/lagging_state.hpp>
 #include <fulmaryard/metrics.hpp>
 #include <fulmaryard/path_candidate.hpp>
 #include <fulmaryard/prompt_quarantine.hpp>
+#include <fulmaryard/rank_demand.hpp>
 #include <fulmaryard/retry_budget.hpp>
+#include <fulmaryard/router_presence.hpp>
 #include <fulmaryard/router_settings.hpp>
 #include <fulmaryard/routing_table.hpp>
 #include <fulmaryard/stream_durations.hpp>
@@ -58,12 +61,18 @@
 
     /// Finds a path for a request of `tokens` tokens in total, `prefill_tokens` of which are
     /// prefilled first; no endpoint of it delays the prefill by more than `max_prefill_wait`.
+    /// Leaves `kept_share` of the memory of each endpoint free.
     ///
     /// Chooses the failure domain with the lowest path cost. If no domain has a path, the path may
     /// cross domains while the crossing budget permits. Empty when no path exists.
     std::vector<path_hop> find_path(
         const routed_service& service, double tokens, double prefill_tokens,
-        std::chrono::milliseconds max_prefill_wait, const std::set<std::string>& avoided);
+        std::chrono::milliseconds max_prefill_wait, const std::set<std::string>& avoided,
+        double kept_share = 0);
+
+    /// Share of the memory of endpoints that new requests of `priority` leave to more urgent ones,
+    /// by what is known of their arrivals.
+    double kept_share(const routed_service& service, std::uint32_t priority);
 
     /// Finds a path that starts with the unchanged hop `first`. Empty when no path exists.
     found_path find_path_after(
@@ -152,14 +161,29 @@
     bool try_retry(const std::string& service);
     void count_request(const std::string& service);
 
+    /// Takes a second attempt for a late answer from the limits of `service`; false when one of
+    /// them is used up. `kind` is "call" or "stream", for the metrics.
+    bool try_hedge(const std::string& service, std::string_view kind);
+    /// Counts a second attempt that is not made, by its cause.
+    void deny_hedge(std::string_view kind, std::string_view cause);
+    /// Counts how a request with a second attempt was answered: by that one, or by the first.
+    void count_hedge_end(std::string_view kind, bool won);
+
     std::uint64_t random_value() { return m_random(); }
 
     /// A random time from 0 to `most`, so that calls that wait for the same moment do not go on
     /// together.
     std::chrono::steady_clock::duration random_spread(std::chrono::steady_clock::duration most);
 
-    /// Whether another router is known, which may serve requests that this one refuses.
-    bool has_other_routers() const { return m_router_count > 1; }
+    /// After SIGTERM requests still arrive for this long, because load balancers keep sending
+    /// callers to a router until they have checked its readiness twice.
+    static constexpr std::chrono::milliseconds min_drain_time{2'500};
+
+    /// Whether another router stays, which may serve requests that this one refuses.
+    bool has_other_routers() const
+    {
+        return m_presence.routers().empty() ? m_router_count > 1 : m_presence.staying() > 0;
+    }
 
     /// When a call that is refused because this router stops should be tried again. Other routers
     /// have room for it; the time keeps callers of this one from arriving together.
@@ -185,7 +209,10 @@
     stream_durations m_stream_durations;
     std::optional<time_point> m_drain_start; ///< Set once this router stops.
     channel_pool m_channels;
+    hedge_policy m_hedges;
+    router_presence m_presence;
     wait_queue m_wait_queue;
+    std::map<std::string, rank_demand> m_rank_demand; ///< By service that runs pipelines.
     prompt_quarantine m_quarantine;
     /// Whether this router sends the trial of a quarantined part of a prompt.
     prompt_quarantine::trial_owner m_owns_trial{[](const std::string&) { return true; }};
@@ -216,8 +243,13 @@
     double decode_layer_ms(
         const pipeline_engine& engine, const accelerator_kind& kind, const std::string& id,
         time_point now) const;
-    std::vector<path_candidate>
-    candidates(const routed_service& service, const std::set<std::string>& avoided) const;
+    std::vector<path_candidate> candidates(
+        const routed_service& service, const std::set<std::string>& avoided,
+        double kept_share = 0) const;
+
+    /// Tokens of requests for which the usable endpoints have memory at the layer of each failure
+    /// domain that has least, over all domains.
+    double token_capacity(const routed_service& service) const;
 
     /// Whether a new path of the service may cross failure domains at `now`.
     bool may_cross(const routed_service& service, time_point now);
@@ -226,6 +258,8 @@
     /// Services and failure domains in which silence is set aside.
     std::set<std::pair<std::string, std::string>> m_silent_domains;
     const time_point m_created{std::chrono::steady_clock::now()};
+    /// Result of `token_capacity`, by service, and when it was found.
+    std::map<std::string, std::pair<double, time_point>> m_token_capacities;
     std::map<std::string, retry_budget> m_retry_budgets;
     std::map<std::string, crossing_budget> m_crossing_budgets; ///< By service.
     std::mt19937_64 m_random;
--- a/src/router_gossip.cpp
+++ b/src/router_gossip.cpp
@@ -41,10 +41,6 @@
 // Number of routers that read the store closely. Several can be lost at once without a delay.
 constexpr std::size_t store_readers = 8;
 
-// A router that has not been heard for this long no longer counts as a reader; over three times the
-// interval of the datagrams of 100 routers.
-constexpr std::chrono::milliseconds reader_silence{4'000};
-
 // Largest datagram in bytes; the state of 100 endpoints takes about 5 KB.
 constexpr std::size_t max_datagram_bytes = 60'000;
 
@@ -113,7 +109,7 @@
 std::vector<std::string> router_gossip::live_routers() const
 {
     std::vector<std::string> routers{m_core.m_settings.m_name};
-    for (const auto& [name, time] : m_last_heard)
+    for (const auto& [name, router] : m_core.m_presence.routers())
         routers.push_back(name);
     return routers;
 }
@@ -125,8 +121,7 @@
 
 void router_gossip::update_store_reader(std::chrono::steady_clock::time_point now)
 {
-    std::erase_if(
-        m_last_heard, [now](const auto& heard) { return now - heard.second > reader_silence; });
+    m_core.m_presence.on_tick(now);
     const auto order = rendezvous_order(0, live_routers());
     const auto own = std::find(order.begin(), order.end(), m_core.m_settings.m_name);
     m_core.m_is_store_reader =
@@ -171,6 +166,35 @@
     }
 }
 
+json::object router_gossip::encode_arrivals() const
+{
+    json::object arrivals;
+    for (const auto& [service, demand] : m_core.m_rank_demand)
+    {
+        json::array rates;
+        for (const auto& [rank, rate] : demand.own_rates(std::chrono::steady_clock::now()))
+            rates.push_back(json::array{rank, static_cast<std::int64_t>(rate)});
+        if (!rates.empty())
+            arrivals[service] = std::move(rates);
+    }
+    return arrivals;
+}
+
+void router_gossip::decode_arrivals(const std::string& router, const json::object& arrivals)
+{
+    for (auto& [service, demand] : m_core.m_rank_demand)
+    {
+        rank_demand::rates rates;
+        const auto* reported = arrivals.if_contains(service);
+        for (const auto& item : reported == nullptr ? json::array() : reported->as_array())
+        {
+            const auto& pair = item.as_array();
+            rates[pair.at(0).to_number<std::uint32_t>()] = pair.at(1).to_number<double>();
+        }
+        demand.on_peer_report(router, std::move(rates), std::chrono::steady_clock::now());
+    }
+}
+
 std::string router_gossip::encode() const
 {
     json::object use;
@@ -200,8 +224,10 @@
         const auto& [started, range] = reported;
         layers.push_back(json::array{endpoint, started, range.m_begin, range.m_end});
     }
-    return json::serialize(json::object{
+    json::object message{
         {"router", m_core.m_settings.m_name},
+        {"domain", m_core.m_settings.m_failure_domain},
+        {"stopping", m_core.m_drain_start.has_value()},
         {"versions", json::array{m_core.m_versions.m_configuration, m_core.m_versions.m_endpoints}},
         {"use", std::move(use)},
         {"suspected", std::move(suspected)},
@@ -209,7 +235,11 @@
         {"slow", std::move(slow)},
         {"refusing", std::move(refusing)},
         {"prompt_parts", encode_prompt_parts()},
-        {"layers", std::move(layers)}});
+        {"layers", std::move(layers)}};
+    // Only where requests of a service differ in priority.
+    if (auto arrivals = encode_arrivals(); !arrivals.empty())
+        message["arrivals"] = std::move(arrivals);
+    return json::serialize(message);
 }
 
 asio::awaitable<void> router_gossip::receive()
@@ -267,7 +297,12 @@
                 pair.at(0).as_string().c_str(), pair.at(1).to_number<std::uint64_t>(), now);
         }
         const std::string router = message.at("router").as_string().c_str();
-        m_last_heard[router] = now;
+        // Routers of an earlier release do not send the fields "domain" and "stopping".
+        const auto* domain = message.if_contains("domain");
+        const auto* stopping = message.if_contains("stopping");
+        m_core.m_presence.on_report(
+            router, {domain == nullptr ? "" : domain->as_string().c_str(),
+                     stopping != nullptr && stopping->as_bool(), now});
         // Routers of an earlier release do not send the fields "versions" and "silent".
         if (const auto* versions = message.if_contains("versions"))
         {
@@ -298,6 +333,8 @@
         // Routers of an earlier release do not send this field.
         if (const auto* parts = message.if_contains("prompt_parts"))
             decode_prompt_parts(parts->as_array());
+        const auto* arrivals = message.if_contains("arrivals");
+        decode_arrivals(router, arrivals == nullptr ? json::object() : arrivals->as_object());
         for (const auto& item : message.at("layers").as_array())
         {
             const auto& entry = item.as_array();
--- a/src/router_gossip.hpp
+++ b/src/router_gossip.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
 
 #include <chrono>
 #include <map>
@@ -45,6 +46,9 @@
     std::string encode() const;
     /// What this router has observed of parts of prompts, as JSON, and the reverse.
     boost::json::array encode_prompt_parts() const;
+    /// Rates at which requests of each rank arrive, by service, as JSON, and the reverse.
+    boost::json::object encode_arrivals() const;
+    void decode_arrivals(const std::string& router, const boost::json::object& arrivals);
     void decode_prompt_parts(const boost::json::array& parts);
     /// Names of the routers that were heard lately, and of this one.
     std::vector<std::string> live_routers() const;
@@ -60,8 +64,6 @@
 
     router_core& m_core;
     version_lag m_version_lag;
-    /// When each other router was last heard, by name.
-    std::map<std::string, std::chrono::steady_clock::time_point> m_last_heard;
     boost::asio::ip::udp::socket m_socket;
     std::vector<boost::asio::ip::udp::endpoint> m_routers;
     std::chrono::steady_clock::time_point m_next_send; ///< Time of the next datagrams.
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -55,11 +55,6 @@
 // A tick that is later than this is logged: the process did not run, or a handler took long.
 constexpr std::chrono::milliseconds notable_loop_delay{100};
 
-// After SIGTERM all new calls are still served for this long, and all new streams if no other
-// router is known, because load balancers keep sending callers here until they have checked
-// readiness twice. Later only requests that end before the process exits are served.
-constexpr std::chrono::milliseconds min_drain_time{2'500};
-
 // Number of ticks in a row without a request after which a draining process exits. After it was
 // held up, one pass of the event loop does not read all requests that have arrived.
 constexpr int min_idle_ticks = 4;
@@ -660,6 +655,7 @@
             co_return;
         const auto start = steady::now();
         m_core.m_drain_start = start;
+        m_gossip.send_soon();
         m_exit_deadline = exit_deadline(start);
         m_caller_server.disable_keep_alive();
         asio::steady_timer timer(m_io);
@@ -667,7 +663,7 @@
         while (steady::now() < m_exit_deadline)
         {
             // A load balancer that has no other router in the failure domain keeps sending here.
-            m_refuses_long_requests = steady::now() >= start + min_drain_time;
+            m_refuses_long_requests = steady::now() >= start + router_core::min_drain_time;
             idle_ticks = m_caller_server.active_exchanges() == 0 ? idle_ticks + 1 : 0;
             if (m_refuses_long_requests && idle_ticks >= min_idle_ticks)
                 break;
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -5,6 +5,7 @@
 #include <fulmaryard/failure.hpp>
 #include <fulmaryard/log.hpp>
 #include <fulmaryard/metric_counter.hpp>
+#include <fulmaryard/stall_locator.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -68,6 +69,10 @@
 // Interval between searches for a faster path for one stream.
 constexpr std::chrono::milliseconds slow_check_interval{250};
 
+// Streams move away from an endpoint at which others stall for this long after it was found. An
+// endpoint that was only silent for a moment has streams that progress by then.
+constexpr std::chrono::milliseconds stall_lifetime{500};
+
 // A call counts as the retry of a refused one until this long after the time given in the refusal.
 constexpr std::chrono::milliseconds expected_retry_grace{4'000};
 
@@ -135,6 +140,7 @@
             session->on_quarantine();
     }
     m_takeover_searches = max_takeover_searches;
+    locate_stalls(now);
     std::vector<std::uint64_t> ids;
     for (const auto& [id, session] : m_sessions)
         ids.push_back(id);
@@ -150,6 +156,7 @@
             for (const auto& hop : session.path())
                 m_core.m_health.on_alive(hop.m_endpoint, session.last_event());
         }
+        session.start_hedge_if_late(now);
         move_from_lost(session, now);
         move_from_slow(session, now);
         const auto silent = now - session.last_progress(now);
@@ -165,6 +172,33 @@
     on_capacity();
 }
 
+void router_streams::locate_stalls(time_point now)
+{
+    std::erase_if(m_stalled, [now](const auto& stalled) { return now > stalled.second; });
+    std::vector<stream_progress> streams;
+    for (const auto& [id, session] : m_sessions)
+    {
+        if (!session->running() || !session->has_pipeline() || session->taking_over() ||
+            session->m_repath_pending || session->mean_event_interval() == steady::duration::zero())
+            continue;
+        auto& stream = streams.emplace_back();
+        for (const auto& hop : session->path())
+            stream.m_endpoints.push_back(hop.m_endpoint);
+        stream.m_silence = now - session->last_progress(now);
+        stream.m_usual_interval = session->mean_event_interval();
+    }
+    for (const auto& endpoint : stall_locator::find(streams))
+    {
+        if (!m_stalled.contains(endpoint))
+        {
+            m_core.m_metrics.counter("fulmaryard_router_stalls_located_total").add();
+            log_event(log_level::info, "stall_located").with("endpoint", endpoint);
+            m_core.suspect(endpoint, "streams stall at it", suspicion_cause::silence);
+        }
+        m_stalled[endpoint] = now + stall_lifetime;
+    }
+}
+
 void router_streams::move_from_lost(stream_session& session, time_point now)
 {
     if (session.path().empty() || session.m_repath_pending || session.taking_over())
@@ -182,6 +216,9 @@
             const auto* record = m_core.find_endpoint(hop.m_endpoint);
             if (record == nullptr || m_core.leaving(*record))
                 return true;
+            if (m_stalled.contains(hop.m_endpoint) &&
+                now - session.last_progress(now) >= stall_locator::min_silence)
+                return true;
             // A stream that makes progress is not moved because of silence elsewhere.
             const bool progresses = now - session.last_progress(now) <= stall_threshold;
             if (progresses ? m_core.m_health.failed(record->m_id, record->m_started_ms, now)
@@ -305,11 +342,15 @@
         session->m_repath_pending = false;
         co_return;
     }
+    const auto start = steady::now();
+    stream_move move;
+    move.m_silence = start - session->last_progress(start);
     const auto first = session->path().front();
     const auto attempt_number = session->attempt_number();
     auto path = find_next_path(*session, *service).m_hops;
     if (path.empty())
     {
+        m_core.m_metrics.counter("fulmaryard_router_moves_without_path_total").add();
         session->m_repath_pending = false;
         ++session->m_repath_count;
         session->m_next_recovery_repath = steady::now() + repath_retry_delay;
@@ -335,7 +376,9 @@
     const bool accepted = response.ok() && response->m_status >= 200 && response->m_status < 300;
     if (accepted)
     {
-        session->on_repath(attempt_number, std::move(path));
+        move.m_accepted = steady::now();
+        move.m_order = move.m_accepted - start;
+        session->on_repath(attempt_number, std::move(path), move);
         co_return;
     }
     const auto fault = response.ok() ? m_core.m_protocol.read_repath_refuser(*response) : "";
--- a/src/router_streams.hpp
+++ b/src/router_streams.hpp
@@ -46,6 +46,8 @@
     std::size_t size() const { return m_sessions.size(); }
 
 private:
+    /// Finds the endpoints at which streams stall, and suspects them.
+    void locate_stalls(time_point now);
     void query_if_due(const std::string& endpoint, time_point now);
     boost::asio::awaitable<void> query_load(std::string endpoint);
     boost::asio::awaitable<void> repath(std::uint64_t id);
@@ -59,6 +61,8 @@
     router_core& m_core;
     std::map<std::uint64_t, stream_session*> m_sessions;
     std::map<std::string, time_point> m_last_query; ///< Last load query by endpoint id.
+    /// Endpoints at which streams stall, with the time until which streams move away.
+    std::map<std::string, time_point> m_stalled;
     /// Callers that were asked to retry, by account and prompt prefix, with the time of expiry.
     std::map<std::pair<std::string, std::string>, time_point> m_expected_retries;
     std::uint64_t m_next_id{0};
--- a/src/settings_fields.hpp
+++ b/src/settings_fields.hpp
@@ -71,6 +71,9 @@
     field{
         "retry_slack", &router_settings::m_retry_slack,
         field_rules{false, 0, 100'000, nullptr, true}},
+    field{
+        "hedge_percent", &router_settings::m_hedge_percent,
+        field_rules{false, 0, 10, nullptr, true}},
     field{"max_connections", &router_settings::m_max_connections, field_rules{false, 1, 1'000'000}},
     field{
         "answer_memory_bytes", &router_settings::m_answer_memory_bytes,
--- a/src/stream_attempt.hpp
+++ b/src/stream_attempt.hpp
@@ -54,6 +54,7 @@
     bool m_answer_began{false};   ///< The answer is a success so far.
     bool m_answer_counted{false}; ///< Counted as an answer to the shared parts of the prompt.
     bool m_crashed{false};        ///< Its first endpoint crashed.
+    bool m_is_hedge{false};       ///< Sent because the first event of another attempt is late.
     bool m_closed{false};
     std::optional<outcome> m_outcome; ///< Set once the attempt has ended.
     std::exception_ptr m_failure;     ///< Set with the outcome if an exception ended it.
--- a/src/stream_durations.cpp
+++ b/src/stream_durations.cpp
@@ -30,8 +30,8 @@
     known.m_next = (known.m_next + 1) % max_answers;
 }
 
-std::optional<duration_estimate>
-stream_durations::estimate(const std::string& route, const plan& planned, time_point now) const
+std::optional<duration_estimate> stream_durations::estimate(
+    const std::string& route, const plan& planned, time_point now, double quantile) const
 {
     const auto known = m_routes.find(route);
     if (known == m_routes.end() || known->second.m_answers.size() < min_answers)
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -6,10 +6,12 @@
 #include <fulmaryard/log.hpp>
 #include <fulmaryard/metric_counter.hpp>
 #include <fulmaryard/metric_histogram.hpp>
+#include <fulmaryard/stop_admission.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <exception>
 #include <tuple>
 #include <utility>
@@ -43,6 +45,9 @@
 // a few milliseconds, and room may become free.
 constexpr std::chrono::milliseconds takeover_interval{200};
 
+// Share of the memory of endpoints that a second attempt for a late first event leaves free.
+constexpr double hedge_kept_share = 0.25;
+
 // Time reserved before the deadline for sending the response to the caller.
 constexpr std::chrono::milliseconds response_margin{30};
 
@@ -50,9 +55,6 @@
 // path changes its speed over about as many events.
 constexpr int event_interval_window = 8;
 
-// Upper bound of the time per token, by what it is on a path now. Other requests may join.
-constexpr double max_token_time_ratio = 2;
-
 // Typical number of tokens per event. Generated tokens are part of the prefill on another path.
 constexpr double tokens_per_event = 3;
 
@@ -175,6 +177,36 @@
     start_attempt(std::move(path));
 }
 
+void stream_session::start_hedge_if_late(time_point now)
+{
+    if (m_hedged || m_event_count > 0 || !has_pipeline() || !m_core.m_hedges.enabled())
+        return;
+    const auto delay = m_core.m_hedges.delay(route_key());
+    if (!delay || now < m_accepted.m_arrival + *delay || !may_start_takeover(now))
+        return;
+    m_hedged = true;
+    if (!m_core.m_wait_queue.empty())
+        return m_core.deny_hedge("stream", "requests_wait");
+    auto avoided = m_excluded_first_endpoints;
+    for (const auto& hop : m_leader->m_path)
+        avoided.insert(hop.m_endpoint);
+    const auto path = m_core.find_path(
+        *service(), m_tokens, context_tokens(), max_prefill_wait(), avoided, hedge_kept_share);
+    if (path.empty())
+        return m_core.deny_hedge("stream", "no_path");
+    if (m_core.m_quarantine.quarantined(m_accepted.m_call.m_shared_parts, now))
+        return m_core.deny_hedge("stream", "quarantine");
+    if (!m_core.try_hedge(m_accepted.m_service, "stream"))
+        return;
+    log_event(log_level::info, "stream_hedged")
+        .with("request", m_accepted.m_call.m_id)
+        .with("from", describe(m_leader->m_path))
+        .with("to", describe(path))
+        .with("after_ms", to_ms(now - m_accepted.m_arrival));
+    start_attempt(path);
+    m_attempts.back()->m_is_hedge = true;
+}
+
 void stream_session::start_attempt(std::vector<path_hop> path)
 {
     const auto now = steady::now();
@@ -255,13 +287,20 @@
     m_last_progress = std::max(m_last_progress, m_leader->m_start);
 }
 
-void stream_session::on_repath(std::uint32_t attempt_number, std::vector<path_hop> path)
+void stream_session::on_repath(
+    std::uint32_t attempt_number, std::vector<path_hop> path, stream_move move)
 {
     if (!running() || m_leader->m_number != attempt_number)
         return;
+    // A stream that moves again has waited since its last event.
+    if (m_move)
+        move.m_silence += move.m_accepted - m_move->m_accepted;
+    m_move = move;
     log_event(log_level::info, "stream_repathed")
         .with("request", m_accepted.m_call.m_id)
         .with("path", describe(path))
+        .with("silent_ms", to_ms(move.m_silence))
+        .with("order_ms", to_ms(move.m_order))
         .with("events", m_event_count);
     const auto& before = m_leader->m_path;
     std::vector<path_hop> added;
@@ -290,8 +329,8 @@
     std::vector<path_hop> path;
     if (has_pipeline())
     {
-        path =
-            m_core.find_path(*service(), m_tokens, context_tokens(), max_prefill_wait(), avoided);
+        path = m_core.find_path(
+            *service(), m_tokens, context_tokens(), max_prefill_wait(), avoided, kept_share());
     }
     else if (const auto id = m_core.choose_endpoint(m_accepted.m_service, avoided); !id.empty())
         path = {path_hop{id, m_core.find_endpoint(id)->m_address, {}}};
@@ -300,6 +339,17 @@
     return path;
 }
 
+double stream_session::urgent_tokens_per_second() const
+{
+    return m_core.m_rank_demand[m_accepted.m_service].own_rate_above(
+        m_accepted.m_priority, steady::now());
+}
+
+double stream_session::kept_share() const
+{
+    return m_responded ? 0 : m_core.kept_share(*service(), m_accepted.m_priority);
+}
+
 bool stream_session::may_outlast_router(const std::vector<path_hop>& path)
 {
     // A stream that was taken is never ended sooner than the process.
@@ -316,6 +366,7 @@
         .with("request", m_accepted.m_call.m_id)
         .with("expected_ms", expected ? expected->m_duration.count() : 0)
         .with("answers", expected ? expected->m_observations : 0)
+        .with("routers_staying", m_core.m_presence.staying())
         .with("left_ms", to_ms(m_accepted.m_shutdown_deadline - now));
     return true;
 }
@@ -341,23 +392,31 @@
 std::optional<duration_estimate>
 stream_session::expected_duration(const std::vector<path_hop>& path) const
 {
-    const auto plan = plan_answer(path);
-    const auto known = m_core.m_stream_durations.estimate(route_key(), plan, steady::now());
-    const auto max_tokens = static_cast<double>(m_accepted.m_call.m_max_answer_tokens);
-    if (!has_pipeline() || max_tokens == 0)
-        return known && known->m_settled ? known : std::nullopt;
-    // A few streams last longer than the estimate, so the announced length counts as well.
-    const auto bound_ms = std::min(
-        max_token_time_ratio * max_tokens * plan.m_token_ms,
-        static_cast<double>(stream_durations::max_duration.count()));
-    const std::chrono::milliseconds bound(static_cast<std::int64_t>(bound_ms));
-    const duration_estimate computed{bound + late_prefill_wait, 0, false};
-    return known ? std::max(*known, computed) : computed;
+    const auto now = steady::now();
+    const auto& call = m_accepted.m_call;
+    stopping_stream stream{route_key(), service_key(), plan_answer(path), has_pipeline()};
+    stream.m_max_tokens = static_cast<double>(call.m_max_answer_tokens);
+    stream.m_estimated_tokens = static_cast<double>(call.m_expected_answer_tokens);
+    if (stream.m_estimated_tokens == 0 && has_pipeline())
+        stream.m_estimated_tokens = engine()->m_mean_response_tokens;
+    const bool arrivals_end =
+        !m_core.m_drain_start || now >= *m_core.m_drain_start + router_core::min_drain_time;
+    return stop_admission::expected_duration(
+        m_core.m_stream_durations, stream, arrivals_end,
+        m_core.m_presence.most_stay_in(m_core.m_settings.m_failure_domain), now);
 }
 
 std::string stream_session::route_key() const
 {
-    return m_accepted.m_route.m_host + m_accepted.m_route.m_path_prefix;
+    // A caller's estimate says more of an answer than the most that it permits.
+    return m_accepted.m_route.m_host + m_accepted.m_route.m_path_prefix +
+           (m_accepted.m_call.m_expected_answer_tokens > 0 ? " estimated" : "");
+}
+
+std::string stream_session::service_key() const
+{
+    return "service " + m_accepted.m_service +
+           (m_accepted.m_call.m_expected_answer_tokens > 0 ? " estimated" : "");
 }
 
 void stream_session::record_answered()
@@ -365,8 +424,11 @@
     // A stream that its caller resumed has only a part of its answer.
     if (m_accepted.m_call.m_resume_after)
         return;
-    m_core.m_stream_durations.on_answered(
-        route_key(), m_plan, m_accepted.m_arrival, m_time_to_first_event, steady::now());
+    for (const auto& key : {route_key(), service_key()})
+    {
+        m_core.m_stream_durations.on_answered(
+            key, m_plan, m_accepted.m_arrival, m_time_to_first_event, steady::now());
+    }
 }
 
 std::chrono::milliseconds stream_session::max_prefill_wait() const
@@ -398,15 +460,41 @@
     else
     {
         m_time_to_first_event = now - m_accepted.m_arrival;
+        m_core.m_hedges.on_answer(route_key(), m_time_to_first_event);
+        if (m_hedged && m_attempt_count > 1)
+            m_core.count_hedge_end("stream", m_leader->m_is_hedge);
         m_core.m_metrics.histogram("fulmaryard_router_first_event_seconds")
             .record(m_time_to_first_event);
     }
+    record_move(now);
     m_last_event_time = now;
     m_last_progress = now;
     m_repath_count = 0;
     record_prefill_done(*m_leader);
 }
 
+void stream_session::record_move(time_point now)
+{
+    if (!m_move)
+        return;
+    const std::pair<std::string_view, steady::duration> parts[] = {
+        {"silence", m_move->m_silence},
+        {"order", m_move->m_order},
+        {"prefill", now - m_move->m_accepted}};
+    auto event = log_event(log_level::info, "stream_moved");
+    event.with("request", m_accepted.m_call.m_id);
+    for (const auto& [part, duration] : parts)
+    {
+        m_core.m_metrics
+            .histogram("fulmaryard_router_move_seconds", fmt::format("part=\"{}\"", part))
+            .record(duration);
+        event.with(part, to_ms(duration));
+    }
+    if (m_event_count > 0 && m_last_event_time != time_point())
+        event.with("pause", to_ms(now - m_last_event_time));
+    m_move.reset();
+}
+
 void stream_session::record_prefill_done(stream_attempt& attempt)
 {
     m_core.m_reservations.on_read(attempt.m_prefilling, attempt.m_prefill_tokens);
@@ -429,7 +517,11 @@
 asio::awaitable<void> stream_session::run()
 {
     if (has_pipeline())
+    {
         m_tokens = router_core::expected_tokens(m_accepted.m_call, *engine());
+        m_core.m_rank_demand[m_accepted.m_service].on_arrival(
+            m_accepted.m_priority, m_tokens, steady::now());
+    }
     m_is_retry = m_core.m_streams->take_expected_retry(m_accepted);
     m_core.count_request(m_accepted.m_service);
     m_exchange.watch_for_disconnect(
@@ -542,10 +634,14 @@
     const auto start = steady::now();
     const bool is_first_attempt = !m_responded && m_attempt_count == 0;
     wait_queue::waiting_request request{
-        m_id, m_is_retry || !is_first_attempt, m_accepted.m_priority, m_tokens,
+        m_id,
+        m_responded,
+        m_is_retry || !is_first_attempt,
+        m_accepted.m_priority,
+        m_tokens,
         std::min(start + max_queueing_time(), m_accepted.m_end - response_margin)};
     const bool stopping = m_accepted.m_shutdown_deadline != time_point::max();
-    if (m_core.m_wait_queue.empty() || !is_first_attempt || stopping)
+    if (m_core.m_wait_queue.goes_before_all(m_accepted.m_priority) || !is_first_attempt || stopping)
     {
         auto path = find_free_path(m_excluded_first_endpoints);
         if (!path.empty())
@@ -553,7 +649,8 @@
     }
     if (stopping && is_first_attempt)
         co_return none;
-    if (m_ended || (is_first_attempt && !m_core.m_wait_queue.may_wait(request, start)))
+    if (m_ended || (is_first_attempt &&
+                    !m_core.m_wait_queue.may_wait(request, start, urgent_tokens_per_second())))
         co_return none;
     if (const auto wanted = m_core.work_wanted_at(m_accepted.m_service);
         wanted && *wanted > request.m_latest_start)
@@ -575,7 +672,8 @@
         if (m_client_disconnected || m_quarantined || m_ended || m_core.m_wait_queue.next() != m_id)
             continue;
         path = m_core.find_path(
-            *service(), m_tokens, context_tokens(), max_prefill_wait(), m_excluded_first_endpoints);
+            *service(), m_tokens, context_tokens(), max_prefill_wait(), m_excluded_first_endpoints,
+            kept_share());
     }
     m_core.m_wait_queue.remove(m_id);
     m_core.m_on_capacity(); // The next request in the queue may fit as well.
@@ -606,7 +704,8 @@
         retry_after = m_core.stop_retry_after();
     else if (has_pipeline())
     {
-        retry_after = m_core.m_wait_queue.assign_retry_after(m_tokens, now);
+        retry_after = m_core.m_wait_queue.assign_retry_after(
+            m_tokens, now, m_accepted.m_priority, urgent_tokens_per_second());
         // The endpoints' own time comes first; the queue spreads the callers behind it.
         if (const auto wanted = m_core.work_wanted_at(m_accepted.m_service))
             retry_after += std::chrono::duration_cast<std::chrono::milliseconds>(*wanted - now);
@@ -622,6 +721,8 @@
         .with("tokens", m_tokens)
         .with("waiting", m_core.m_wait_queue.size())
         .with("returning", m_is_retry)
+        .with("priority", m_accepted.m_priority)
+        .with("kept_percent", has_pipeline() ? std::lround(kept_share() * 100) : 0)
         .with("retry_after_ms", retry_after.count())
         .with("held_ms", to_ms(now - m_accepted.m_arrival));
     auto response = m_core.m_protocol.refusal(m_accepted.m_call, 503, retry_after);
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -5,6 +5,7 @@
 #include "open_session.hpp"
 #include "router_core.hpp"
 #include "stream_attempt.hpp"
+#include "stream_move.hpp"
 
 #include <fulmaryard/answer_head.hpp>
 #include <fulmaryard/answer_share.hpp>
@@ -83,6 +84,10 @@
     /// the retry budget permits it.
     void start_takeover(std::string_view reason);
 
+    /// Starts a further attempt if the first event is later than most, endpoints have room to spare
+    /// and the limits of such attempts permit it. Does so once.
+    void start_hedge_if_late(time_point now);
+
     /// Ends the wait or the attempts if the prompt holds a part that is quarantined since, and no
     /// endpoint has begun to answer.
     void on_quarantine();
@@ -90,7 +95,7 @@
     void end() override;
 
     /// Switches an attempt to `path` after its first endpoint has accepted the repath order.
-    void on_repath(std::uint32_t attempt_number, std::vector<path_hop> path);
+    void on_repath(std::uint32_t attempt_number, std::vector<path_hop> path, stream_move move);
 
     int m_repath_count{0};             ///< Repath orders sent since the last progress.
     bool m_repath_pending{false};      ///< A repath order is in progress.
@@ -149,6 +154,11 @@
     void
     set_path(stream_attempt& attempt, std::vector<path_hop> path, std::vector<path_hop> prefilling);
     void release_path(stream_attempt& attempt);
+    /// Tokens per second that more urgent requests bring to this router.
+    double urgent_tokens_per_second() const;
+    /// Share of the memory of endpoints that this request leaves to more urgent ones. A stream that
+    /// its caller is reading leaves none.
+    double kept_share() const;
     /// A free path that does not begin at an endpoint in `avoided`; empty if there is none now.
     std::vector<path_hop> find_free_path(const std::set<std::string>& avoided);
     /// Maximum time that the request may wait for the prefills of other requests on its path.
@@ -159,8 +169,10 @@
     stream_durations::plan plan_answer(const std::vector<path_hop>& path) const;
     /// Duration that a stream on `path` is expected not to exceed; nullopt if nothing is known.
     std::optional<duration_estimate> expected_duration(const std::vector<path_hop>& path) const;
-    /// Route of the request, as the key of what is known of its streams.
+    /// Keys of what is known of the streams of the request's route and service that announce their
+    /// length in the same way.
     std::string route_key() const;
+    std::string service_key() const;
     /// Records that the stream was answered in full.
     void record_answered();
     /// Records that the endpoints of the path have finished their prefill.
@@ -169,6 +181,8 @@
     void record_progress(time_point now);
     /// Updates the statistics of the time between events.
     void record_event_interval(std::chrono::steady_clock::duration interval);
+    /// Records where the time of a move went, at the first event after it.
+    void record_move(time_point now);
     const routed_service* service() const;
     const pipeline_engine* engine() const; ///< nullptr if the service runs no pipelines.
     /// How long the request may wait for capacity from the start of an attempt on.
@@ -203,6 +217,7 @@
     std::chrono::steady_clock::duration m_time_to_first_event{}; ///< 0 before the first event.
     std::chrono::steady_clock::duration m_max_event_interval{};  ///< Maximum time between events.
     std::chrono::steady_clock::duration m_mean_event_interval{};
+    std::optional<stream_move> m_move;            ///< Since which there was no event.
     std::optional<std::uint64_t> m_last_event_id; ///< Id of the last event relayed.
     std::uint64_t m_event_count{0};               ///< Events relayed to the caller.
     run_history m_history;                        ///< First endpoints that the request was sent to.
@@ -215,6 +230,7 @@
     bool m_ended{false};               ///< The process exits.
     bool m_quarantined{false};         ///< A part of the prompt was quarantined meanwhile.
     bool m_is_retry{false};            ///< The caller retries after a refusal with Retry-After.
+    bool m_hedged{false};              ///< A further attempt was started or denied for lateness.
     bool m_responded{false};           ///< A response to the caller has begun.
     bool m_is_sending{false};          ///< Events are being sent to the caller.
 };
--- a/src/wait_queue.cpp
+++ b/src/wait_queue.cpp
@@ -33,25 +33,35 @@
     return tokens / to_seconds(rate_window);
 }
 
-bool wait_queue::may_wait(const waiting_request& request, time_point now)
+bool wait_queue::may_wait(
+    const waiting_request& request, time_point now, double urgent_tokens_per_second)
 {
     if (!m_first_query_time)
         m_first_query_time = now;
     if (now - *m_first_query_time < rate_window)
         return m_waiting.size() < max_waiting_at_start;
     double tokens_ahead = request.m_tokens;
+    const auto own_key = key_of(request);
     for (const auto& [key, other] : m_waiting)
     {
-        if (key < order_key{!request.m_is_retry, request.m_priority, request.m_id})
+        if (key < own_key)
             tokens_ahead += other.m_tokens;
     }
-    const double rate = released_tokens_per_second(now);
+    const double rate = released_tokens_per_second(now) - urgent_tokens_per_second;
     return rate > 0 && now + from_seconds(tokens_ahead / rate) <= request.m_latest_start;
 }
 
+bool wait_queue::goes_before_all(std::uint32_t priority) const
+{
+    if (m_waiting.empty())
+        return true;
+    const auto& first = m_waiting.begin()->first;
+    return first.m_new_stream && priority < first.m_priority;
+}
+
 void wait_queue::add(const waiting_request& request)
 {
-    m_waiting[{!request.m_is_retry, request.m_priority, request.m_id}] = request;
+    m_waiting[key_of(request)] = request;
 }
 
 void wait_queue::remove(std::uint64_t id)
@@ -84,19 +94,36 @@
     m_released.push_back({now, tokens});
 }
 
-std::chrono::milliseconds wait_queue::assign_retry_after(double tokens, time_point now)
+std::chrono::milliseconds wait_queue::assign_retry_after(
+    double tokens, time_point now, std::uint32_t priority, double urgent_tokens_per_second)
 {
     double waiting_tokens = 0;
     for (const auto& [key, request] : m_waiting)
-        waiting_tokens += request.m_tokens;
-    const double rate = released_tokens_per_second(now);
-    const auto earliest = now + min_retry_after;
-    // Without a release rate the time at which capacity becomes free cannot be estimated.
-    const auto after_waiting = rate > 0 ? now + from_seconds(waiting_tokens / rate) : now;
-    const auto service_time = rate > 0 ? from_seconds(tokens / rate) : min_retry_after / 4;
-    m_last_retry_time = std::max({m_last_retry_time, after_waiting, earliest}) + service_time;
-    m_last_retry_time = std::min(m_last_retry_time, now + max_retry_after);
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_last_retry_time - now);
+        waiting_tokens += key.m_priority <= priority ? request.m_tokens : 0;
+    auto scheduled = now + min_retry_after;
+    for (const auto& [other, time] : m_last_retry_times)
+    {
+        if (other <= priority)
+            scheduled = std::max(scheduled, time);
+    }
+    const double released = released_tokens_per_second(now);
+    const double rate = released - urgent_tokens_per_second;
+    if (rate > 0)
+    {
+        scheduled = std::max(scheduled, now + from_seconds(waiting_tokens / rate));
+        scheduled += from_seconds(tokens / rate);
+    }
+    else if (released > 0)
+    {
+        // More urgent requests take all that is released; their burst may end meanwhile.
+        scheduled =
+            std::max(scheduled, now + max_retry_after / 2) + from_seconds(tokens / released);
+    }
+    else
+        scheduled += min_retry_after / 4; // Unknown when capacity becomes free.
+    scheduled = std::min(scheduled, now + max_retry_after);
+    m_last_retry_times[priority] = scheduled;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(scheduled - now);
 }
 
 } // namespace fulmaryard
--- a/tests/unit/stream_durations_test.cpp
+++ b/tests/unit/stream_durations_test.cpp
@@ -112,7 +112,7 @@
             [&](auto each) { return each <= estimate->m_duration; });
         RC_ASSERT(
             static_cast<double>(within) >=
-            stream_durations::quantile * static_cast<double>(newest));
+            stream_durations::default_quantile * static_cast<double>(newest));
     };
     CHECK(holds(property, 200, 1));
 }
--- a/tests/unit/wait_queue_test.cpp
+++ b/tests/unit/wait_queue_test.cpp
@@ -15,7 +15,7 @@
 wait_queue::waiting_request
 make_request(std::uint64_t id, double tokens = 1000, bool is_retry = false)
 {
-    return {id, is_retry, 1, tokens, start + 250ms};
+    return {id, false, is_retry, 1, tokens, start + 250ms};
 }
 
 /// Records that `per_second` requests of 1000 tokens ended in each second of the rate window before
@@ -110,7 +110,7 @@
     std::vector<std::chrono::milliseconds> times;
     times.reserve(20);
     for (int i = 0; i < 20; ++i)
-        times.push_back(queue.assign_retry_after(1000, start));
+        times.push_back(queue.assign_retry_after(1000, start, 1));
     CHECK(times.front() >= wait_queue::min_retry_after);
     for (std::size_t i = 1; i < times.size(); ++i)
         CHECK(times[i] - times[i - 1] >= 24ms); // 40 requests per second, one every 25 ms.
@@ -120,12 +120,12 @@
         release_steadily(busy, 40, start);
         for (std::uint64_t id = 1; id <= 40; ++id)
             busy.add(make_request(id));
-        CHECK(busy.assign_retry_after(1000, start) >= 1s);
+        CHECK(busy.assign_retry_after(1000, start, 1) >= 1s);
     }
     SUBCASE("never exceed the maximum")
     {
         for (int i = 0; i < 1000; ++i)
-            CHECK(queue.assign_retry_after(1000, start) <= wait_queue::max_retry_after);
+            CHECK(queue.assign_retry_after(1000, start, 1) <= wait_queue::max_retry_after);
     }
 }
 
