HTTP server: one budget of memory for the requests of all callers

Callers that sent many large or unfinished bodies ended a process, since each request had its own limit and the sum none, and a body was held four to five times. Now what requests hold is taken from request_memory before it is read; a quarter is left to small requests; requests that do not go on make room (408), and a large one that finds none is refused (503, not run). A body is held once: it is moved from the parser to the call, and all attempts send it from there. When connections are used up, the one whose caller has been silent longest is closed for the next one. The router also follows max_body_bytes of the configuration's limits.

--- a/include/fulmaryard/endpoint_channel.hpp
+++ b/include/fulmaryard/endpoint_channel.hpp
@@ -39,6 +39,11 @@
 
     boost::asio::awaitable<absl::Status> send(const http_request& request, time_point deadline);
 
+    /// Sends `request` with `body` in place of its own. `body` is not copied and has to outlive the
+    /// operation.
+    boost::asio::awaitable<absl::Status>
+    send(const http_request& request, std::string_view body, time_point deadline);
+
     /// Reads the status line and header fields of the next response. The body of the result is
     /// empty; read it with `read_body`.
     boost::asio::awaitable<absl::StatusOr<http_response>> read_head(time_point deadline);
--- a/include/fulmaryard/endpoint_protocol.hpp
+++ b/include/fulmaryard/endpoint_protocol.hpp
@@ -23,10 +23,11 @@
 public:
     virtual ~endpoint_protocol() = default;
 
-    /// Parses a caller's request; fails with `invalid_request` if it has no id.
+    /// Parses a caller's request without its body; fails with `invalid_request` if it has no id.
     virtual absl::StatusOr<routed_call> read_call(const http_request& request) const = 0;
 
-    /// Builds the request that sends `call` to `target`.
+    /// Builds the request that sends `call` to `target`, without the body, which all attempts
+    /// share.
     virtual http_request write_call(const routed_call& call, const call_target& target) const = 0;
 
     /// Parses the status and header fields of the response to `call`.
--- a/include/fulmaryard/entry_settings.hpp
+++ b/include/fulmaryard/entry_settings.hpp
@@ -29,8 +29,10 @@
     std::vector<std::string> m_peers;       ///< Peer addresses of other entries; source of the
                                             ///< configuration while the platform is down.
     std::vector<administrator> m_administrators;
-    std::uint32_t m_max_body_bytes{1048576};    ///< Maximum body of a caller's request, bytes.
-    std::uint32_t m_max_connections{8192};      ///< Maximum concurrent caller connections.
+    std::uint32_t m_max_body_bytes{1048576}; ///< Maximum body of a caller's request, bytes.
+    std::uint32_t m_max_connections{8192};   ///< Maximum concurrent caller connections.
+    /// What the requests of callers hold, read or in progress, for all connections together.
+    std::uint32_t m_request_memory_bytes{50331648};
     std::uint32_t m_request_deadline_ms{10000}; ///< Time limit to receive a request, milliseconds.
     std::uint32_t m_first_token_target_ms{
         380}; ///< Admission rejects requests with a longer expected wait, milliseconds.
--- a/include/fulmaryard/http_exchange.hpp
+++ b/include/fulmaryard/http_exchange.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -28,6 +29,10 @@
 
     virtual const http_request& request() const = 0;
 
+    /// Returns the body of the request, which `request` no longer has afterwards, so that a large
+    /// one is held once.
+    virtual std::string take_body() { return request().m_body; }
+
     /// Sequence number of the connection within its server, from 1 in the order of acceptance.
     virtual std::uint64_t connection() const { return 0; }
 
--- a/include/fulmaryard/http_server.hpp
+++ b/include/fulmaryard/http_server.hpp
@@ -27,6 +27,8 @@
     std::size_t m_max_header_bytes{16 * 1024};
     std::size_t m_max_body_bytes{1024 * 1024};
     std::size_t m_max_connections{8192};
+    /// What the requests of all connections hold together, bytes.
+    std::size_t m_request_memory_bytes{48 * 1024 * 1024};
     std::chrono::milliseconds m_request_deadline{
         10'000}; ///< From the first byte of a request to the end of its body.
     std::chrono::milliseconds m_idle_deadline{60'000}; ///< For the first byte of the next request.
@@ -39,7 +41,9 @@
 ///
 /// A request that cannot be read gets an error response and never reaches the handler: 400 for
 /// invalid syntax, 408 after the request deadline, 413 for a body over the limit, 431 for a header
-/// over the limit.
+/// over the limit, 503 if there is no memory for it. When connections or memory are used up, the
+/// connection that has gone longest without a byte is closed, with 408 if its request is
+/// incomplete.
 class http_server
 {
 public:
@@ -70,6 +74,12 @@
     /// it. New connections are still accepted.
     void disable_keep_alive();
 
+    /// Replaces the limit of the bodies of requests whose head is read from now on.
+    void set_max_body_bytes(std::size_t bytes);
+
+    /// Returns what the requests of all connections hold, bytes.
+    std::size_t request_bytes() const;
+
     /// Returns the number of requests in progress, from their first byte to the end of their
     /// response.
     std::size_t active_exchanges() const;
--- a/include/fulmaryard/router_settings.hpp
+++ b/include/fulmaryard/router_settings.hpp
@@ -24,6 +24,8 @@
     std::uint32_t m_retry_percent{18}; ///< Retries per hundred requests.
     std::uint32_t m_retry_slack{40};   ///< Additional retries per 10 s, for all routers together.
     std::uint32_t m_max_connections{3500}; ///< Connections from callers.
+    /// What the requests of callers hold, read or in progress, for all connections together.
+    std::uint32_t m_request_memory_bytes{50331648};
     /// Bytes of endpoints' answers that are held until they can be passed on, for all requests
     /// together.
     std::uint32_t m_answer_memory_bytes{33554432};
--- a/include/fulmaryard/routing_configuration.hpp
+++ b/include/fulmaryard/routing_configuration.hpp
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace fulmaryard
@@ -19,6 +20,7 @@
     std::vector<service_route> m_routes;
     std::vector<routed_service> m_services;
     std::vector<routing_account> m_accounts;
+    std::optional<std::uint64_t> m_max_body_bytes; ///< Largest body that callers send.
 
     friend auto operator<=>(const routing_configuration&, const routing_configuration&) = default;
 };
--- a/src/endpoint_channel.cpp
+++ b/src/endpoint_channel.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <fmt/format.h>
@@ -140,15 +141,21 @@
 
 asio::awaitable<absl::Status>
 endpoint_channel::send(const http_request& request, time_point deadline)
+{
+    return send(request, request.m_body, deadline);
+}
+
+asio::awaitable<absl::Status>
+endpoint_channel::send(const http_request& request, std::string_view body, time_point deadline)
 {
     m_state->m_response_complete = false;
     m_state->m_keep_alive = false;
-    http::request<http::string_body> message;
+    http::request<http::span_body<const char>> message;
     message.version(11);
     message.method_string(request.m_method);
     message.target(request.m_target);
     set_fields(message, request.m_fields);
-    message.body() = request.m_body;
+    message.body() = beast::span<const char>(body.data(), body.size());
     message.prepare_payload();
     m_state->m_deadline.start(state::operation::write, deadline);
     const auto [result, size] = co_await http::async_write(m_state->m_stream, message, use_tuple);
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -83,6 +83,7 @@
     http_server_limits limits;
     limits.m_max_body_bytes = settings.m_max_body_bytes;
     limits.m_max_connections = settings.m_max_connections;
+    limits.m_request_memory_bytes = settings.m_request_memory_bytes;
     limits.m_request_deadline = std::chrono::milliseconds(settings.m_request_deadline_ms);
     return limits;
 }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_conversion_inl.hpp"
 #include "operation_deadline.hpp"
+#include "request_reader.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/error_response.hpp>
@@ -29,6 +30,7 @@
 
 #include <atomic>
 #include <exception>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -42,6 +44,12 @@
 namespace
 {
 
+// Connections beyond the limit that may be open while as many others are being closed for them.
+constexpr std::size_t max_closing_connections = 32;
+
+// When a request that found no memory should be tried again. Unfinished requests make room sooner.
+constexpr std::chrono::milliseconds memory_retry_after{1'000};
+
 absl::Status write_status(const beast::error_code& error)
 {
     if (!error)
@@ -73,6 +81,8 @@
 
     const http_request& request() const override { return m_request; }
 
+    std::string take_body() override { return std::exchange(m_request.m_body, {}); }
+
     std::uint64_t connection() const override { return m_connection; }
 
     asio::any_io_executor executor() override { return m_stream.get_executor(); }
@@ -245,24 +255,6 @@
     std::shared_ptr<disconnect_watch> m_watch{std::make_shared<disconnect_watch>()};
 };
 
-using request_parser = http::request_parser<http::string_body>;
-
-/// Reads one request. Fails with `beast::error::timeout` after `time_limit` and leaves the
-/// connection open, so that the error response can still be sent.
-asio::awaitable<beast::error_code> read_request(
-    beast::tcp_stream& stream, operation_deadline& deadline, beast::flat_buffer& buffer,
-    request_parser& parser, std::chrono::milliseconds time_limit)
-{
-    deadline.start(
-        operation_deadline::operation::read, std::chrono::steady_clock::now() + time_limit,
-        operation_deadline::expiry_action::cancel_operation);
-    const auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
-    const bool expired = deadline.stop();
-    if (error && expired)
-        co_return beast::error_code(beast::error::timeout);
-    co_return error;
-}
-
 /// Counts a request as in progress during the lifetime of the object.
 class active_exchange_guard
 {
@@ -312,7 +304,9 @@
           m_limits(limits),
           m_on_request(std::move(on_request)),
           m_on_upgrade(std::move(on_upgrade)),
-          m_acceptor(asio::make_strand(io))
+          m_acceptor(asio::make_strand(io)),
+          m_memory(limits.m_request_memory_bytes),
+          m_max_body_bytes(limits.m_max_body_bytes)
     {
     }
 
@@ -322,6 +316,9 @@
     /// Responds to a request that could not be read, and drains the connection. Returns false if
     /// the connection itself failed.
     asio::awaitable<bool> respond_to_read_error(beast::tcp_stream& stream, beast::error_code error);
+    /// Whether another connection may be open, if need be in the place of one whose caller is
+    /// silent.
+    bool make_room_for_connection();
 
     asio::io_context& m_io;
     http_server_limits m_limits;
@@ -333,8 +330,20 @@
     std::atomic<std::size_t> m_open_connections{0};
     std::uint64_t m_accepted_count{0}; ///< Since the start. Used by the accept loop only.
     std::atomic<std::size_t> m_active_exchanges{0};
+    connection_registry m_connections;
+    request_memory m_memory;
+    std::atomic<std::size_t> m_max_body_bytes;
 };
 
+bool http_server::state::make_room_for_connection()
+{
+    const auto open = m_open_connections.load();
+    if (open < m_limits.m_max_connections)
+        return true;
+    return open < m_limits.m_max_connections + max_closing_connections &&
+           m_connections.close_longest();
+}
+
 asio::awaitable<void> http_server::state::accept_loop()
 {
     const auto self = shared_from_this();
@@ -350,7 +359,7 @@
             co_await pause.async_wait(use_tuple);
             continue;
         }
-        if (m_open_connections.load() >= m_limits.m_max_connections)
+        if (!make_room_for_connection())
         {
             log_event(log_level::warning, "connection_limit")
                 .with("open", m_open_connections.load());
@@ -386,12 +395,18 @@
         kind = failure_kind::payload_too_large;
         status = http::status::payload_too_large;
     }
+    else if (error == boost::system::errc::not_enough_memory)
+    {
+        kind = failure_kind::overloaded;
+        status = http::status::service_unavailable;
+    }
     else if (error == http::error::header_limit || error == http::error::buffer_overflow)
         status = http::status::request_header_fields_too_large;
     else if (error.category() != beast::error_code(http::error::bad_method).category())
         co_return false; // The connection itself failed, so no response can be delivered.
-    http_response rejection =
-        error_response(make_failure(kind, error.message()), to_string(make_stream_id()));
+    http_response rejection = error_response(
+        make_failure(kind, error.message()), to_string(make_stream_id()),
+        kind == failure_kind::overloaded ? memory_retry_after : std::chrono::milliseconds(0));
     http::response<http::string_body> message(status, 11);
     set_fields(message, rejection.m_fields);
     message.body() = std::move(rejection.m_body);
@@ -420,43 +435,38 @@
 {
     const auto self = shared_from_this();
     operation_deadline deadline(stream);
-    beast::flat_buffer buffer(m_limits.m_max_header_bytes + 64 * 1024);
+    request_reader reader(
+        stream, deadline, m_connections, m_memory, connection, m_limits.m_max_header_bytes);
     while (!m_stopping)
     {
-        request_parser parser;
-        parser.header_limit(static_cast<std::uint32_t>(m_limits.m_max_header_bytes));
-        parser.body_limit(m_limits.m_max_body_bytes);
-        if (buffer.size() == 0)
-        {
-            deadline.start(
-                operation_deadline::operation::read,
-                std::chrono::steady_clock::now() + m_limits.m_idle_deadline);
-            const auto [error, size] =
-                co_await stream.async_read_some(buffer.prepare(4096), use_tuple);
-            deadline.stop();
-            if (error)
-                break;
-            buffer.commit(size);
-        }
+        if (!co_await reader.wait_for_request(m_limits.m_idle_deadline))
+            break;
+        std::optional<request_reader::request_parser> parser;
+        parser.emplace();
+        parser->header_limit(static_cast<std::uint32_t>(m_limits.m_max_header_bytes));
+        parser->body_limit(m_max_body_bytes.load());
         // Counts from the first byte on: a process that stops when nothing is in progress must not
         // leave a request behind that was read but not handed over.
         const active_exchange_guard guard(m_active_exchanges);
-        const beast::error_code error =
-            co_await read_request(stream, deadline, buffer, parser, m_limits.m_request_deadline);
+        const beast::error_code error = co_await reader.read(*parser, m_limits.m_request_deadline);
         if (error)
         {
+            // What was read makes room for others while the response is sent.
+            parser.reset();
+            reader.release();
             co_await respond_to_read_error(stream, error);
             break;
         }
-        if (m_on_upgrade && beast::websocket::is_upgrade(parser.get()))
+        if (m_on_upgrade && beast::websocket::is_upgrade(parser->get()))
         {
-            m_on_upgrade(stream.release_socket(), parser.release());
+            m_on_upgrade(stream.release_socket(), parser->release());
             co_return;
         }
-        const auto& message = parser.get();
+        auto message = parser->release();
+        parser.reset();
         http_request request{
             std::string(message.method_string()), std::string(message.target()),
-            copy_fields(message.base()), message.body()};
+            copy_fields(message.base()), std::move(message.body())};
         connection_exchange exchange(
             stream, deadline, connection, std::move(request), message.keep_alive(),
             m_limits.m_write_deadline, m_keep_alive_disabled);
@@ -483,6 +493,7 @@
         }
         if (!exchange.usable() || !exchange.keep_alive())
             break;
+        reader.release();
     }
     beast::error_code ignored;
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -541,6 +552,16 @@
     m_state->m_keep_alive_disabled = true;
 }
 
+void http_server::set_max_body_bytes(std::size_t bytes)
+{
+    m_state->m_max_body_bytes = bytes;
+}
+
+std::size_t http_server::request_bytes() const
+{
+    return m_state->m_memory.used();
+}
+
 std::size_t http_server::active_exchanges() const
 {
     return m_state->m_active_exchanges.load();
--- a/src/plain_session.cpp
+++ b/src/plain_session.cpp
@@ -307,7 +307,8 @@
         .with("address", target.m_address)
         .with("kept_connection", reused)
         .with("time_left_ms", target.m_time_left.count());
-    const auto sent = co_await attempt.m_channel->send(request, m_latest_answer);
+    const auto sent = co_await attempt.m_channel->send(
+        request, m_accepted.m_call.m_request.m_body, m_latest_answer);
     if (!sent.ok())
     {
         connection_stale = reused;
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -100,6 +100,7 @@
     limits.m_max_header_bytes = max_header_bytes;
     limits.m_max_body_bytes = max_body_bytes;
     limits.m_max_connections = settings.m_max_connections;
+    limits.m_request_memory_bytes = settings.m_request_memory_bytes;
     limits.m_idle_deadline = caller_idle_timeout;
     return limits;
 }
@@ -183,6 +184,8 @@
             m_gossip.send_soon();
         m_core.m_table = std::make_shared<const routing_table>(std::move(configuration));
         const auto& in_force = m_core.m_table->configuration();
+        m_caller_server.set_max_body_bytes(std::min<std::size_t>(
+            in_force.m_max_body_bytes.value_or(max_body_bytes), max_body_bytes));
         log_event(log_level::info, "configuration_in_force")
             .with("version", version)
             .with("routes", in_force.m_routes.size())
@@ -435,6 +438,7 @@
         }
         accepted_call accepted;
         accepted.m_call = *std::move(call);
+        accepted.m_call.m_request.m_body = exchange.take_body();
         accepted.m_route = *route;
         accepted.m_service = table->choose_service(*route, m_core.random_value());
         accepted.m_account = account == nullptr ? "" : account->m_name;
@@ -508,6 +512,7 @@
             {"slow", m_core.m_health.slow(now).size()},
             {"idle_connections", m_core.m_channels.idle()},
             {"answer_bytes", m_core.m_answer_memory.used()},
+            {"request_bytes", m_caller_server.request_bytes()},
             {"configuration_version", m_core.m_table == nullptr ? 0 : m_core.m_table->version()},
             {"lease_held", m_layers.holds_lease() ? 1 : 0},
             {"store_reachable", m_store_reachable ? 1 : 0}};
--- a/src/service_dispatch.cpp
+++ b/src/service_dispatch.cpp
@@ -87,7 +87,7 @@
         m_call.m_path = request.m_target;
         m_call.m_content_type =
             std::string(find_field(request.m_fields, "Content-Type").value_or(""));
-        m_call.m_body = request.m_body;
+        m_call.m_body = m_exchange.take_body();
         m_call.m_idempotent =
             std::find(idempotent_methods.begin(), idempotent_methods.end(), request.m_method) !=
             idempotent_methods.end();
--- a/src/settings_fields.hpp
+++ b/src/settings_fields.hpp
@@ -37,6 +37,9 @@
         "max_body_bytes", &entry_settings::m_max_body_bytes,
         field_rules{false, 1'024, 1'073'741'824}},
     field{"max_connections", &entry_settings::m_max_connections, field_rules{false, 1, 1'000'000}},
+    field{
+        "request_memory_bytes", &entry_settings::m_request_memory_bytes,
+        field_rules{false, 1'048'576, 4'294'967'295}},
     field{
         "request_deadline_ms", &entry_settings::m_request_deadline_ms,
         field_rules{false, 1, 3'600'000}},
@@ -72,6 +75,9 @@
         "retry_slack", &router_settings::m_retry_slack,
         field_rules{false, 0, 100'000, nullptr, true}},
     field{"max_connections", &router_settings::m_max_connections, field_rules{false, 1, 1'000'000}},
+    field{
+        "request_memory_bytes", &router_settings::m_request_memory_bytes,
+        field_rules{false, 1'048'576, 4'294'967'295}},
     field{
         "answer_memory_bytes", &router_settings::m_answer_memory_bytes,
         field_rules{false, 1'048'576, 4'294'967'295}}};
--- a/src/stream_attempts.cpp
+++ b/src/stream_attempts.cpp
@@ -191,7 +191,8 @@
             co_return attempt_outcome::unreachable;
         }
         m_history.on_sent(attempt.m_run);
-        auto status = co_await attempt.m_channel->send(request, m_accepted.m_end);
+        auto status = co_await attempt.m_channel->send(
+            request, m_accepted.m_call.m_request.m_body, m_accepted.m_end);
         if (status.ok())
             response = co_await attempt.m_channel->read_head(m_accepted.m_end);
         else
