Streams: a move keeps the hops that stay; ranks of routes count within those of accounts

The search now knows that an unchanged hop needs no prefill. The priority of the account now goes first and that of the route decides among equal ones.

--- a/include/fulmaryard/path_query.hpp
+++ b/include/fulmaryard/path_query.hpp
@@ -1,9 +1,12 @@
 #ifndef FULMARYARD_PATH_QUERY_HPP
 #define FULMARYARD_PATH_QUERY_HPP
 
+#include <fulmaryard/path_hop.hpp>
+
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace fulmaryard
 {
@@ -18,6 +21,7 @@
     double m_prefill_weight{0.03}; ///< Cost of 1 ms of prefill, in milliseconds per decoded token.
     double m_max_prefill_wait_ms{1e9}; ///< Per endpoint, until prefill begins.
     std::string m_domain;          ///< Failure domain of all endpoints; empty: may cross domains.
+    std::vector<path_hop> m_kept;  ///< Hops that need no prefill, if the path has them unchanged.
     double m_crossing_cost_ms{40}; ///< Cost of each hop to another failure domain, milliseconds.
 
     friend auto operator<=>(const path_query&, const path_query&) = default;
--- a/src/accepted_call.hpp
+++ b/src/accepted_call.hpp
@@ -1,12 +1,12 @@
 #ifndef FULMARYARD_ACCEPTED_CALL_HPP
 #define FULMARYARD_ACCEPTED_CALL_HPP
 
+#include <fulmaryard/request_rank.hpp>
 #include <fulmaryard/routed_call.hpp>
 #include <fulmaryard/service_route.hpp>
 
 #include <algorithm>
 #include <chrono>
-#include <cstdint>
 #include <string>
 
 namespace fulmaryard
@@ -21,7 +21,7 @@
     service_route m_route;
     std::string m_service;
     std::string m_account;
-    std::uint32_t m_priority{0};
+    request_rank m_rank;
     time_point m_arrival;
     time_point m_end; ///< The caller's deadline or the route's timeout, whichever is earlier.
 
--- a/src/path_finder.cpp
+++ b/src/path_finder.cpp
@@ -57,6 +57,11 @@
             m_boundaries.push_back(std::clamp(layers.m_begin, query.m_begin, query.m_layers));
             m_boundaries.push_back(std::clamp(layers.m_end, query.m_begin, query.m_layers));
         }
+        for (const auto& hop : query.m_kept)
+        {
+            m_boundaries.push_back(std::clamp(hop.m_layers.m_begin, query.m_begin, query.m_layers));
+            m_boundaries.push_back(std::clamp(hop.m_layers.m_end, query.m_begin, query.m_layers));
+        }
         std::sort(m_boundaries.begin(), m_boundaries.end());
         m_boundaries.erase(
             std::unique(m_boundaries.begin(), m_boundaries.end()), m_boundaries.end());
@@ -79,6 +84,15 @@
                (m_query.m_domain.empty() || candidate.m_failure_domain == m_query.m_domain);
     }
 
+    /// Whether the stream has the KV cache of these layers at this endpoint already.
+    bool is_kept(const path_candidate& candidate, layer_range layers) const
+    {
+        return std::any_of(
+            m_query.m_kept.begin(), m_query.m_kept.end(),
+            [&](const path_hop& hop)
+            { return hop.m_layers == layers && hop.m_endpoint == candidate.m_endpoint; });
+    }
+
     bool can_be_first(const path_candidate& candidate) const
     {
         return m_query.m_begin > 0 || candidate.m_free_slots > 0;
@@ -120,12 +134,14 @@
                 const double layers = m_boundaries[to] - m_boundaries[from];
                 if (candidate.m_free_token_layers < layers * m_query.m_tokens)
                     break;
+                const double prefill_ms =
+                    is_kept(candidate, {m_boundaries[from], m_boundaries[to]})
+                        ? 0
+                        : candidate.m_prefill_wait_ms +
+                              layers * m_query.m_unread * candidate.m_prefill_layer_ms;
                 partial_path part;
                 part.m_cost_ms = predecessor->m_cost_ms + layers * candidate.m_decode_layer_ms +
-                                 hop_cost_ms +
-                                 m_query.m_prefill_weight *
-                                     (candidate.m_prefill_wait_ms +
-                                      layers * m_query.m_unread * candidate.m_prefill_layer_ms);
+                                 hop_cost_ms + m_query.m_prefill_weight * prefill_ms;
                 part.m_candidate = next;
                 part.m_begin_boundary = from;
                 part.m_previous = predecessor->m_candidate;
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -612,9 +612,11 @@
     return best.m_hops;
 }
 
-found_path router_core::find_path_after(
-    const routed_service& service, double tokens, double prefill_tokens, const path_hop& first)
+found_path router_core::find_next_path(
+    const routed_service& service, double tokens, double prefill_tokens,
+    const std::vector<path_hop>& current)
 {
+    const auto& first = current.front();
     const auto usable_candidates = candidates(service, {first.m_endpoint});
     path_query query;
     query.m_begin = first.m_layers.m_end;
@@ -622,6 +624,7 @@
     query.m_tokens = tokens;
     query.m_unread = prefill_tokens;
     query.m_prefill_weight = repath_prefill_weight;
+    query.m_kept.assign(current.begin() + 1, current.end());
     const auto* record = find_endpoint(first.m_endpoint);
     query.m_domain = record == nullptr ? "" : record->m_failure_domain;
     auto path = fulmaryard::find_path(usable_candidates, query);
--- a/src/router_core.hpp
+++ b/src/router_core.hpp
@@ -74,9 +74,11 @@
     /// by what is known of their arrivals.
     double kept_share(const routed_service& service, std::uint32_t priority);
 
-    /// Finds a path that starts with the unchanged hop `first`. Empty when no path exists.
-    found_path find_path_after(
-        const routed_service& service, double tokens, double prefill_tokens, const path_hop& first);
+    /// Finds a path for a stream that leaves the path `current`, whose first hop stays. Further
+    /// hops that stay as they are need no prefill. Empty when no path exists.
+    found_path find_next_path(
+        const routed_service& service, double tokens, double prefill_tokens,
+        const std::vector<path_hop>& current);
 
     /// Charges the crossing budget for what a request of `tokens` tokens over `path` sends between
     /// failure domains.
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -437,8 +437,8 @@
         accepted.m_route = *route;
         accepted.m_service = table->choose_service(*route, m_core.random_value());
         accepted.m_account = account == nullptr ? "" : account->m_name;
-        accepted.m_priority =
-            account != nullptr && account->m_priority ? *account->m_priority : route->m_priority;
+        accepted.m_rank = request_rank::of(
+            account == nullptr ? std::nullopt : account->m_priority, route->m_priority);
         accepted.m_arrival = arrival;
         auto time_limit = route->m_timeout;
         if (accepted.m_call.m_deadline.count() > 0)
--- a/src/router_streams.cpp
+++ b/src/router_streams.cpp
@@ -280,8 +280,8 @@
 {
     // The memory that the stream holds on its current path counts as free in the search.
     m_core.m_reservations.release(session.path(), session.tokens());
-    auto path = m_core.find_path_after(
-        service, session.tokens(), session.context_tokens(), session.path().front());
+    auto path =
+        m_core.find_next_path(service, session.tokens(), session.context_tokens(), session.path());
     m_core.m_reservations.take(session.path(), session.tokens());
     return path;
 }
--- a/src/stream_attempts.cpp
+++ b/src/stream_attempts.cpp
@@ -158,7 +158,7 @@
     target.m_account = m_accepted.m_account;
     target.m_time_left = m_accepted.time_left(attempt.m_start);
     target.m_resume_after = m_last_event_id;
-    target.m_urgency = std::min<std::uint32_t>(m_accepted.m_priority, 9);
+    target.m_urgency = m_accepted.m_rank.urgency();
     const auto request = m_core.m_protocol.write_call(m_accepted.m_call, target);
     log_event(log_level::info, "request_placed")
         .with("request", m_accepted.m_call.m_id)
@@ -167,7 +167,7 @@
         .with("tokens", m_tokens)
         .with("token_ms", has_pipeline() ? m_core.path_decode_ms(*service(), attempt.m_path, 0) : 0)
         .with("after_event", m_last_event_id.value_or(0))
-        .with("priority", m_accepted.m_priority)
+        .with("rank", m_accepted.m_rank.value())
         .with("version", m_table->version())
         .with("time_left_ms", target.m_time_left.count());
     absl::StatusOr<http_response> response = http_response{};
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -342,12 +342,12 @@
 double stream_session::urgent_tokens_per_second() const
 {
     return m_core.m_rank_demand[m_accepted.m_service].own_rate_above(
-        m_accepted.m_priority, steady::now());
+        m_accepted.m_rank.value(), steady::now());
 }
 
 double stream_session::kept_share() const
 {
-    return m_responded ? 0 : m_core.kept_share(*service(), m_accepted.m_priority);
+    return m_responded ? 0 : m_core.kept_share(*service(), m_accepted.m_rank.value());
 }
 
 bool stream_session::may_outlast_router(const std::vector<path_hop>& path)
@@ -520,7 +520,7 @@
     {
         m_tokens = router_core::expected_tokens(m_accepted.m_call, *engine());
         m_core.m_rank_demand[m_accepted.m_service].on_arrival(
-            m_accepted.m_priority, m_tokens, steady::now());
+            m_accepted.m_rank.value(), m_tokens, steady::now());
     }
     m_is_retry = m_core.m_streams->take_expected_retry(m_accepted);
     m_core.count_request(m_accepted.m_service);
@@ -637,11 +637,12 @@
         m_id,
         m_responded,
         m_is_retry || !is_first_attempt,
-        m_accepted.m_priority,
+        m_accepted.m_rank.value(),
         m_tokens,
         std::min(start + max_queueing_time(), m_accepted.m_end - response_margin)};
     const bool stopping = m_accepted.m_shutdown_deadline != time_point::max();
-    if (m_core.m_wait_queue.goes_before_all(m_accepted.m_priority) || !is_first_attempt || stopping)
+    if (m_core.m_wait_queue.goes_before_all(m_accepted.m_rank.value()) || !is_first_attempt ||
+        stopping)
     {
         auto path = find_free_path(m_excluded_first_endpoints);
         if (!path.empty())
@@ -662,7 +663,7 @@
         .with("waiting", m_core.m_wait_queue.size())
         .with("tokens", m_tokens)
         .with("returning", m_is_retry)
-        .with("priority", m_accepted.m_priority);
+        .with("rank", m_accepted.m_rank.value());
     std::vector<path_hop> path;
     while (path.empty() && !m_client_disconnected && !m_quarantined && !m_ended &&
            steady::now() < request.m_latest_start)
@@ -705,7 +706,7 @@
     else if (has_pipeline())
     {
         retry_after = m_core.m_wait_queue.assign_retry_after(
-            m_tokens, now, m_accepted.m_priority, urgent_tokens_per_second());
+            m_tokens, now, m_accepted.m_rank.value(), urgent_tokens_per_second());
         // The endpoints' own time comes first; the queue spreads the callers behind it.
         if (const auto wanted = m_core.work_wanted_at(m_accepted.m_service))
             retry_after += std::chrono::duration_cast<std::chrono::milliseconds>(*wanted - now);
@@ -721,7 +722,7 @@
         .with("tokens", m_tokens)
         .with("waiting", m_core.m_wait_queue.size())
         .with("returning", m_is_retry)
-        .with("priority", m_accepted.m_priority)
+        .with("rank", m_accepted.m_rank.value())
         .with("kept_percent", has_pipeline() ? std::lround(kept_share() * 100) : 0)
         .with("retry_after_ms", retry_after.count())
         .with("held_ms", to_ms(now - m_accepted.m_arrival));
--- a/tests/unit/path_finder_test.cpp
+++ b/tests/unit/path_finder_test.cpp
@@ -67,6 +67,38 @@
         make_candidate("first", {0, 30}), make_candidate("second", {30, 60}),
         make_candidate("third", {60, 80})};
 
+    SUBCASE("keeps the hops of a running stream, which need no prefill there")
+    {
+        // A stream that left all its endpoints paused for a prefill of all its layers, although one
+        // of them was lost.
+        auto query = make_query();
+        query.m_prefill_weight = 0.1;
+        query.m_unread = 1000;
+        query.m_begin = 30;
+        for (auto& candidate : candidates)
+            candidate.m_prefill_layer_ms = 0.01;
+        auto faster = make_candidate("faster", {30, 60});
+        faster.m_decode_layer_ms = 0.9;
+        faster.m_prefill_layer_ms = 0.01;
+        candidates.push_back(faster);
+        auto last = make_candidate("last", {55, 80});
+        last.m_prefill_layer_ms = 0.01;
+        candidates.push_back(last);
+        CHECK(endpoint_names(find_path(candidates, query)).front() == "faster");
+        query.m_kept = {{"second", "second:1", {30, 60}}, {"lost", "lost:1", {60, 80}}};
+        CHECK(
+            endpoint_names(find_path(candidates, query)) ==
+            std::vector<std::string>{"second", "third"});
+
+        SUBCASE("also where they run only a part of what the endpoint holds")
+        {
+            candidates.erase(candidates.begin() + 2); // Only "last" holds the last layers.
+            query.m_kept.front().m_layers.m_end = 58;
+            const auto path = find_path(candidates, query);
+            REQUIRE(path.m_hops.size() == 2);
+            CHECK(path.m_hops.front() == query.m_kept.front());
+        }
+    }
     SUBCASE("avoids an endpoint that is busy with the prefill of other requests")
     {
         // When all streams of a lost endpoint move to the same replacement, each of them pauses
--- a/tests/unit/rank_demand_test.cpp
+++ b/tests/unit/rank_demand_test.cpp
@@ -1,6 +1,7 @@
 #include "fixed_seed_property.hpp"
 
 #include <fulmaryard/rank_demand.hpp>
+#include <fulmaryard/request_rank.hpp>
 #include <fulmaryard/wait_queue.hpp>
 
 #include <doctest/doctest.h>
@@ -21,6 +22,18 @@
 
 TEST_SUITE_BEGIN("unit");
 
+TEST_CASE("the rank of a request")
+{
+    // Guards against urgent routes that lose their rank because all accounts have the same one.
+    CHECK(request_rank::of(1, 0).value() < request_rank::of(1, 2).value());
+    CHECK(request_rank::of(0, 2).value() < request_rank::of(1, 0).value());
+    CHECK(request_rank::of({}, 0).value() < request_rank::of({}, 1).value());
+    CHECK(request_rank::of({}, 400).value() > request_rank::of(1, 400).value());
+    CHECK(request_rank::of(1, 0).urgency() < request_rank::of(1, 1).urgency());
+    CHECK(request_rank::of(0, 2).urgency() < request_rank::of(1, 0).urgency());
+    CHECK(request_rank::of(4'000'000'000U, 4'000'000'000U).urgency() == 9);
+}
+
 TEST_CASE("the demand of urgent requests")
 {
     // Guards against memory that is kept for ranks that do not arrive, or not kept for those that
