--- a/include/fulmaryard/router_presence.hpp
+++ b/include/fulmaryard/router_presence.hpp
@@ -30,7 +30,7 @@
         time_point m_heard;
     };
 
-    void on_report(const std::string& name, router reported) { m_routers[name] = reported; }
+    void on_report(const std::string& name, const router& reported) { m_routers[name] = reported; }
 
     /// Forgets routers that were not heard for long.
     void on_tick(time_point now)
