--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -55,11 +55,6 @@
 // A tick that is later than this is logged: the process did not run, or a handler took long.
 constexpr std::chrono::milliseconds notable_loop_delay{100};
 
-// After SIGTERM all new calls are still served for this long, and all new streams if no other
-// router is known, because load balancers keep sending callers here until they have checked
-// readiness twice. Later only requests that end before the process exits are served.
-constexpr std::chrono::milliseconds min_drain_time{2'500};
-
 // Number of ticks in a row without a request after which a draining process exits. After it was
 // held up, one pass of the event loop does not read all requests that have arrived.
 constexpr int min_idle_ticks = 4;
@@ -100,6 +95,7 @@
     limits.m_max_header_bytes = max_header_bytes;
     limits.m_max_body_bytes = max_body_bytes;
     limits.m_max_connections = settings.m_max_connections;
+    limits.m_request_memory_bytes = settings.m_request_memory_bytes;
     limits.m_idle_deadline = caller_idle_timeout;
     return limits;
 }
@@ -183,6 +179,8 @@
             m_gossip.send_soon();
         m_core.m_table = std::make_shared<const routing_table>(std::move(configuration));
         const auto& in_force = m_core.m_table->configuration();
+        m_caller_server.set_max_body_bytes(std::min<std::size_t>(
+            in_force.m_max_body_bytes.value_or(max_body_bytes), max_body_bytes));
         log_event(log_level::info, "configuration_in_force")
             .with("version", version)
             .with("routes", in_force.m_routes.size())
@@ -435,11 +433,12 @@
         }
         accepted_call accepted;
         accepted.m_call = *std::move(call);
+        accepted.m_call.m_request.m_body = exchange.take_body();
         accepted.m_route = *route;
         accepted.m_service = table->choose_service(*route, m_core.random_value());
         accepted.m_account = account == nullptr ? "" : account->m_name;
-        accepted.m_priority =
-            account != nullptr && account->m_priority ? *account->m_priority : route->m_priority;
+        accepted.m_rank = request_rank::of(
+            account == nullptr ? std::nullopt : account->m_priority, route->m_priority);
         accepted.m_arrival = arrival;
         auto time_limit = route->m_timeout;
         if (accepted.m_call.m_deadline.count() > 0)
@@ -508,6 +507,7 @@
             {"slow", m_core.m_health.slow(now).size()},
             {"idle_connections", m_core.m_channels.idle()},
             {"answer_bytes", m_core.m_answer_memory.used()},
+            {"request_bytes", m_caller_server.request_bytes()},
             {"configuration_version", m_core.m_table == nullptr ? 0 : m_core.m_table->version()},
             {"lease_held", m_layers.holds_lease() ? 1 : 0},
             {"store_reachable", m_store_reachable ? 1 : 0}};
@@ -660,6 +660,7 @@
             co_return;
         const auto start = steady::now();
         m_core.m_drain_start = start;
+        m_gossip.send_soon();
         m_exit_deadline = exit_deadline(start);
         m_caller_server.disable_keep_alive();
         asio::steady_timer timer(m_io);
@@ -667,7 +668,7 @@
         while (steady::now() < m_exit_deadline)
         {
             // A load balancer that has no other router in the failure domain keeps sending here.
-            m_refuses_long_requests = steady::now() >= start + min_drain_time;
+            m_refuses_long_requests = steady::now() >= start + router_core::min_drain_time;
             idle_ticks = m_caller_server.active_exchanges() == 0 ? idle_ticks + 1 : 0;
             if (m_refuses_long_requests && idle_ticks >= min_idle_ticks)
                 break;
