Routers: the memory of requests follows that of the instance

The platform's template fills in the instance's memory; what answers and 48 MB for the rest leave of it is for requests.

--- a/include/fulmaryard/router_settings.hpp
+++ b/include/fulmaryard/router_settings.hpp
@@ -26,8 +26,11 @@
     /// Second attempts for late answers per hundred requests; 0: none.
     std::uint32_t m_hedge_percent{0};
     std::uint32_t m_max_connections{3500}; ///< Connections from callers.
-    /// What the requests of callers hold, read or in progress, for all connections together.
-    std::uint32_t m_request_memory_bytes{50331648};
+    /// Memory of the instance, in units of 1,000,000 bytes; 0: unknown.
+    std::uint32_t m_instance_memory_mb{0};
+    /// What the requests of callers hold, read or in progress, for all connections together; 0: by
+    /// the memory of the instance.
+    std::uint32_t m_request_memory_bytes{0};
     /// Bytes of endpoints' answers that are held until they can be passed on, for all requests
     /// together.
     std::uint32_t m_answer_memory_bytes{33554432};
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -89,13 +89,32 @@
 constexpr std::size_t max_header_bytes = 64 * 1024;
 constexpr std::size_t max_body_bytes = 16 * 1024 * 1024;
 
+// Memory of a process besides what it holds of requests and answers: code, state of endpoints and
+// configuration, connections, and what the allocator keeps.
+constexpr std::size_t other_memory_bytes = 48'000'000;
+
+// What requests hold where the memory of the instance is not known, or too small for more.
+constexpr std::size_t default_request_memory_bytes = 48 * 1024 * 1024;
+constexpr std::size_t min_request_memory_bytes = 8 * 1024 * 1024;
+
+std::size_t request_memory_of(const router_settings& settings)
+{
+    if (settings.m_request_memory_bytes > 0)
+        return settings.m_request_memory_bytes;
+    if (settings.m_instance_memory_mb == 0)
+        return default_request_memory_bytes;
+    const std::size_t instance = std::size_t{settings.m_instance_memory_mb} * 1'000'000;
+    const std::size_t others = settings.m_answer_memory_bytes + other_memory_bytes;
+    return std::max(instance - std::min(instance, others), min_request_memory_bytes);
+}
+
 http_server_limits caller_limits(const router_settings& settings)
 {
     http_server_limits limits;
     limits.m_max_header_bytes = max_header_bytes;
     limits.m_max_body_bytes = max_body_bytes;
     limits.m_max_connections = settings.m_max_connections;
-    limits.m_request_memory_bytes = settings.m_request_memory_bytes;
+    limits.m_request_memory_bytes = request_memory_of(settings);
     limits.m_idle_deadline = caller_idle_timeout;
     return limits;
 }
--- a/src/settings_fields.hpp
+++ b/src/settings_fields.hpp
@@ -78,9 +78,12 @@
         "hedge_percent", &router_settings::m_hedge_percent,
         field_rules{false, 0, 10, nullptr, true}},
     field{"max_connections", &router_settings::m_max_connections, field_rules{false, 1, 1'000'000}},
+    field{
+        "instance_memory_mb", &router_settings::m_instance_memory_mb,
+        field_rules{false, 0, 1'000'000}},
     field{
         "request_memory_bytes", &router_settings::m_request_memory_bytes,
-        field_rules{false, 1'048'576, 4'294'967'295}},
+        field_rules{false, 0, 4'294'967'295}},
     field{
         "answer_memory_bytes", &router_settings::m_answer_memory_bytes,
         field_rules{false, 1'048'576, 4'294'967'295}}};
--- a/tests/process/hostile_callers_test.cpp
+++ b/tests/process/hostile_callers_test.cpp
@@ -188,6 +188,31 @@
     CHECK(router.memory_kilobytes("VmHWM") < instance_memory_kb);
 }
 
+TEST_CASE("a crowd of unfinished requests at a router that knows its memory")
+{
+    // Guards against a share of the memory for requests that leaves too little for the rest.
+    scripted_endpoint endpoint(answer_whole);
+    router_system system(0, 0);
+    system.add_endpoint("endpoint", endpoint, std::nullopt);
+    system.start_router("router-1", "instance_memory_mb: 160\n");
+    auto& router = system.process("router-1");
+    const std::string body(largest_body_bytes - 16, 'x');
+    const crowd callers(
+        system.address("router-1"), crowd_size,
+        [&](const raw_connection& connection, std::size_t member)
+        {
+            connection.send(
+                make_head(member, fmt::format("Content-Length: {}", largest_body_bytes)) + body);
+        });
+    std::this_thread::sleep_for(settle_time);
+    REQUIRE(router.running());
+    CHECK(router.memory_kilobytes("VmHWM") < instance_memory_kb);
+    const auto response = test_client(system.address("router-1"))
+                              .send(router_system::make_request("POST", "/orders/1", "ordinary"));
+    REQUIRE(response.ok());
+    CHECK(response->m_status == 200);
+}
+
 TEST_CASE("a single request with a body of the largest legal size")
 {
     // Guards against limits that turn away what callers may send.
