--- a/review/standins/router_process.hpp
+++ b/review/standins/router_process.hpp
@@ -63,6 +63,7 @@
             {"{{listen.ready}}", address(m_ready)},
             {"{{ip}}:9464", address(m_metrics)},
             {"{{ip}}:{{port_range.0}}", address(m_peer)},
+            {"{{limits.memory_mb}}", "260"},
             {"{{contract_params.grace_s}}", std::to_string(grace_s)},
             {"{{contract_params.budget_slack}}", "198"}};
         for (const auto& [key, value] : values)
