--- a/tests/process/hostile_callers_test.cpp
+++ b/tests/process/hostile_callers_test.cpp
@@ -221,10 +221,13 @@
     system.add_endpoint("endpoint", endpoint, std::nullopt);
     system.start_router("router-1");
     auto request = router_system::make_request("POST", "/orders/1", "large");
-    request.m_body = std::string(largest_body_bytes, 'x');
+    for (std::size_t i = 0; i < largest_body_bytes; ++i)
+        request.m_body += static_cast<char>('a' + i % 23);
     const auto response = test_client(system.address("router-1")).send(request);
     REQUIRE(response.ok());
     CHECK(response->m_status == 200);
+    const bool unchanged = endpoint.last_body() == request.m_body;
+    CHECK(unchanged);
 }
 
 TEST_SUITE_END();
--- a/tests/process/scripted_endpoint.cpp
+++ b/tests/process/scripted_endpoint.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <utility>
 
 namespace fulmaryard::process_tests
 {
@@ -80,6 +81,12 @@
     return found == m_last_heads.end() ? "" : found->second;
 }
 
+std::string scripted_endpoint::last_body() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_last_body;
+}
+
 void scripted_endpoint::set_layers(int begin, int end)
 {
     const std::lock_guard lock(m_mutex);
@@ -142,6 +149,7 @@
             std::array<char, 16 * 1024> bytes{};
             received.append(bytes.data(), socket.read_some(asio::buffer(bytes), error));
         }
+        auto call_body = received.substr(0, body);
         received.erase(0, body);
         reply answer;
         if (head.starts_with("GET /report "))
@@ -158,6 +166,7 @@
                 const std::lock_guard lock(m_mutex);
                 ++m_arrivals[call];
                 m_last_heads[call] = head;
+                m_last_body = std::move(call_body);
             }
             answer = m_answer(call, calls++);
         }
--- a/tests/process/scripted_endpoint.hpp
+++ b/tests/process/scripted_endpoint.hpp
@@ -56,6 +56,9 @@
     /// Head of the request with which a call arrived last; empty if it has not arrived.
     std::string last_head(const std::string& call) const;
 
+    /// Body of the call that arrived last.
+    std::string last_body() const;
+
     /// Layers that the load report names.
     void set_layers(int begin, int end);
 
@@ -75,6 +78,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, int> m_arrivals;
     std::map<std::string, std::string> m_last_heads; ///< By call.
+    std::string m_last_body;
     std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> m_sockets;
     std::vector<std::thread> m_threads;
     std::string m_layers;
