Streams: no attempt starts once an answer has been read to its end

Cause: when an answer without a length has ended, the attempt asks for up to 150 ms whether its endpoint was killed. Meanwhile the session counted as running, so the tick took the pause since the last event for silence and started a takeover. The first attempt ended the response; the second one, then alone, ended it again when its own answer ended.

Fix: an attempt knows that its answer was read to its end. The session is not running from then on, so that no takeover, second attempt or repath starts and its pause is no evidence of a stall; the check decides alone, and a killed endpoint leads to the next attempt as before. The end of a response also ends all other attempts, as plain calls do. Answers with a length or chunks leave no such window: their connection leaves the attempt at once.

Cost: a stream whose endpoint was killed at its end waits for the check (up to 150 ms) before another attempt starts, also if 1.3 s have passed.

Scripted endpoints pause before they close as well.

--- a/src/stream_attempt.hpp
+++ b/src/stream_attempt.hpp
@@ -52,6 +52,7 @@
     answer_share m_share;         ///< For what is not passed on yet.
     std::uint64_t m_events{0};    ///< Events relayed.
     bool m_answer_began{false};   ///< The answer is a success so far.
+    bool m_answer_read{false};    ///< The answer was read to its end and relayed.
     bool m_answer_counted{false}; ///< Counted as an answer to the shared parts of the prompt.
     bool m_crashed{false};        ///< Its first endpoint crashed.
     bool m_is_hedge{false};       ///< Sent because the first event of another attempt is late.
--- a/src/stream_attempts.cpp
+++ b/src/stream_attempts.cpp
@@ -356,6 +356,8 @@
         co_return break_off_attempt(attempt, "the answer ends within an event");
     if (attempt.m_events == 0 && attempt.m_channel->ends_with_connection())
         co_return break_off_attempt(attempt, "the answer ends before an event");
+    // The check below takes time, in which no other attempt may start.
+    attempt.m_answer_read = true;
     if (attempt.m_channel->ends_with_connection())
     {
         if (co_await m_core.check_killed(attempt.m_run))
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -112,7 +112,8 @@
 
 bool stream_session::running() const
 {
-    return m_leader != nullptr && m_leader->running() && m_leader->m_channel != nullptr;
+    return m_leader != nullptr && m_leader->running() && m_leader->m_channel != nullptr &&
+           !m_leader->m_answer_read;
 }
 
 bool stream_session::stopped(const stream_attempt& attempt) const
@@ -263,7 +264,13 @@
             failure = attempt.m_failure;
             close_attempts();
         }
-        else if (is_final(*attempt.m_outcome) || (!attempt.m_closed && !is_final(end)))
+        else if (is_final(*attempt.m_outcome))
+        {
+            // Whatever another attempt relays would follow the end of the response.
+            end = *attempt.m_outcome;
+            close_attempts();
+        }
+        else if (!attempt.m_closed && !is_final(end))
             end = *attempt.m_outcome;
         m_crashed = m_crashed || attempt.m_crashed;
         remove_attempt(static_cast<std::size_t>(ended - m_attempts.begin()));
--- a/src/stream_session.hpp
+++ b/src/stream_session.hpp
@@ -69,7 +69,9 @@
     {
         return m_mean_event_interval;
     }
-    /// Whether the leading attempt has a connection to its first endpoint, open or being opened.
+    /// Whether the leading attempt has a connection to its first endpoint, open or being opened,
+    /// and has not read its answer to the end. Only then may another attempt start or its path
+    /// change.
     bool running() const;
     /// Whether a further attempt runs beside one that makes no progress.
     bool taking_over() const { return m_attempts.size() > 1; }
--- a/tests/process/scripted_endpoint.cpp
+++ b/tests/process/scripted_endpoint.cpp
@@ -171,11 +171,9 @@
             answer = m_answer(call, calls++);
         }
         asio::write(socket, asio::buffer(answer.m_bytes), error);
+        std::this_thread::sleep_for(answer.m_pause);
         if (!answer.m_rest.empty())
-        {
-            std::this_thread::sleep_for(answer.m_pause);
             asio::write(socket, asio::buffer(answer.m_rest), error);
-        }
         if (!answer.m_repeated.empty())
         {
             std::string block;
--- a/tests/process/scripted_endpoint.hpp
+++ b/tests/process/scripted_endpoint.hpp
@@ -26,7 +26,7 @@
     {
         std::string m_bytes;
         bool m_close{false};                  ///< Close the connection afterwards.
-        std::chrono::milliseconds m_pause{0}; ///< Between `m_bytes` and `m_rest`.
+        std::chrono::milliseconds m_pause{0}; ///< After `m_bytes`.
         std::string m_rest{};                 ///< Sent before the connection is closed.
         std::string m_repeated{};             ///< Then sent again and again until the peer closes.
     };
--- a/tests/process/silent_endpoints_test.cpp
+++ b/tests/process/silent_endpoints_test.cpp
@@ -1,6 +1,7 @@
 // Tests endpoints that fall silent in the middle of a stream and go on: their streams are not
 // ended.
 
+#include "process/raw_connection.hpp"
 #include "process/received_stream.hpp"
 #include "process/router_system.hpp"
 
@@ -73,6 +74,32 @@
 
 const std::string last_chunk = "0\r\n\r\n";
 
+std::string unframed_events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += fmt::format("id: {}\ndata: x\n\n", id);
+    return text;
+}
+
+std::string whole_answer(const std::string& call, const std::string& body)
+{
+    return fmt::format(
+        "HTTP/1.1 200 OK\r\nFulmaryard-Attempt-Id: {}\r\nFulmaryard-Response-Signature: s\r\n"
+        "Content-Type: text/event-stream\r\nContent-Length: {}\r\n\r\n{}",
+        call, body.size(), body);
+}
+
+/// A request of a caller that keeps its connection.
+std::string request_text(const std::string& target, const std::string& call)
+{
+    return fmt::format(
+        "POST {} HTTP/1.1\r\nHost: 127.0.0.1\r\nFulmaryard-Attempt-Id: {}\r\n"
+        "Fulmaryard-Deadline-Ms: 8000\r\nFulmaryard-Token-Usage: 10,100\r\n"
+        "Authorization: Bearer secret\r\nContent-Length: 0\r\n\r\n",
+        target, call);
+}
+
 /// Endpoints that hold the first half of the layers, with sound ones for the second half. The one
 /// that a call reaches first falls silent and goes on; the others answer as the test says.
 struct pipeline
@@ -196,6 +223,59 @@
     }
 }
 
+TEST_CASE("a stream whose endpoint is silent before it ends the answer with its connection")
+{
+    // Guards against a takeover that writes to the caller after the end of the answer, where the
+    // response to the caller's next request is due.
+    std::string target;
+    std::optional<layer_range> layers;
+    SUBCASE("on a path of a pipeline")
+    {
+        target = "/chat/1";
+        layers = layer_range{0, 6};
+    }
+    SUBCASE("at a service without a pipeline")
+    {
+        target = "/feed/1";
+    }
+    // The answer ends before a takeover is due, its check for a killed endpoint only after that.
+    for (const auto silence_before_end : {1200ms, 1230ms, 1260ms})
+    {
+        CAPTURE(silence_before_end.count());
+        pipeline endpoints(
+            2, 1,
+            [&](const std::string& call) -> scripted_endpoint::reply {
+                return {unframed_head(call) + unframed_events(1, 6), true, silence_before_end};
+            },
+            [](const std::string& call) -> scripted_endpoint::reply
+            {
+                if (call == "next")
+                    return {whole_answer(call, unframed_events(1, 1))};
+                return {"", false, 150ms, whole_answer(call, "")};
+            });
+        router_system system(0, 0);
+        for (std::size_t i = 0; i < endpoints.m_firsts.size(); ++i)
+            system.add_endpoint(fmt::format("first-{}", i), *endpoints.m_firsts[i], layers);
+        system.add_endpoint("last", *endpoints.m_lasts[0], layer_range{6, 12});
+        system.start_router("router-1", "retry_slack: 100000\n");
+
+        const raw_connection caller(system.address("router-1"));
+        caller.send(request_text(target, "stream"));
+        auto received = caller.receive("id: 6\n");
+        // The endpoints do not answer load queries either, so the check for a killed one is slow.
+        std::this_thread::sleep_for(silence_before_end - 150ms);
+        for (const auto& first : endpoints.m_firsts)
+            first->set_reports(scripted_endpoint::report_mode::silent);
+        received += caller.receive(last_chunk);
+        CHECK(received.ends_with(last_chunk));
+        caller.send(request_text(target, "next"));
+        const auto next = caller.receive(last_chunk);
+        CHECK(next.starts_with("HTTP/1.1 200 "));
+        CHECK(next.find("id: 1\n") != std::string::npos);
+        CHECK(next.ends_with(last_chunk));
+    }
+}
+
 TEST_CASE("a stream that another endpoint takes over")
 {
     // Guards against events that are lost or repeated as two endpoints answer one stream.
