Streams: what other answers lasted does not bound a late stream at a stop

Cause: once load balancers have taken a router out, it may only take a stream that ends before the exit. Without a known speed of the path, or without a longest answer, stop_admission used the duration that 98 in 100 answers of the route do not exceed as if it were a bound.

No line said why they were taken: stream_taken_at_stop now does.

Fix: from 2.5 s after SIGTERM on such a stream is taken only if its deadline or the route's timeout is before the exit, as plain calls are. No other figure is a bound. Others are refused at once as not run; another router serves them.

Before 2.5 s nothing changes. Where no other router is known they are refused too.

New tests, both failed before: stop_admission_test "may be longer than all answers so far where nothing bounds it" (2 of 2 sections), process.streams_at_stop "a stream of a service without a pipeline that arrives late at a stopping router" (taken and cut).

--- a/include/fulmaryard/stop_admission.hpp
+++ b/include/fulmaryard/stop_admission.hpp
@@ -37,7 +37,9 @@
     ///
     /// While callers arrive, what similar streams have shown goes before the longest answer that
     /// the caller permits, which few answers reach; where most routers stop, half of the similar
-    /// streams have to end in time. Later both count. Empty if nothing is known.
+    /// streams have to end in time. Later both count, and similar streams alone do not suffice: the
+    /// longest answer and the speed of its path have to be known. Empty if nothing is known; only
+    /// its deadline bounds such a stream.
     static std::optional<duration_estimate> expected_duration(
         const stream_durations& durations, const stopping_stream& stream, bool arrivals_end,
         bool most_stay, time_point now);
--- a/src/stop_admission.cpp
+++ b/src/stop_admission.cpp
@@ -55,9 +55,10 @@
 {
     if (!arrivals_end)
         return while_callers_arrive(durations, stream, most_stay, now);
-    const auto known = durations.estimate(stream.m_route, stream.m_plan, now);
+    // Some answers are longer than nearly all of their route, so answers alone bound none.
     if (!stream.m_has_pipeline || stream.m_max_tokens == 0)
-        return known && known->m_settled ? known : std::nullopt;
+        return std::nullopt;
+    const auto known = durations.estimate(stream.m_route, stream.m_plan, now);
     const auto longest = longest_duration(stream.m_plan, stream.m_max_tokens);
     return known ? std::max(*known, longest) : longest;
 }
--- a/src/stream_session.cpp
+++ b/src/stream_session.cpp
@@ -366,16 +366,17 @@
     const auto expected = expected_duration(path);
     m_outlasts_router = m_accepted.m_end > m_accepted.m_shutdown_deadline &&
                         (!expected || now + expected->m_duration > m_accepted.m_shutdown_deadline);
-    if (!m_outlasts_router)
-        return false;
-    m_core.m_metrics.counter("fulmaryard_router_stop_refusals_total").add();
-    log_event(log_level::info, "stream_outlasts_router")
+    if (m_outlasts_router)
+        m_core.m_metrics.counter("fulmaryard_router_stop_refusals_total").add();
+    log_event(
+        log_level::info, m_outlasts_router ? "stream_outlasts_router" : "stream_taken_at_stop")
         .with("request", m_accepted.m_call.m_id)
+        .with("deadline_ms", to_ms(m_accepted.m_end - now))
         .with("expected_ms", expected ? expected->m_duration.count() : 0)
         .with("answers", expected ? expected->m_observations : 0)
         .with("routers_staying", m_core.m_presence.staying())
         .with("left_ms", to_ms(m_accepted.m_shutdown_deadline - now));
-    return true;
+    return m_outlasts_router;
 }
 
 stream_durations::plan stream_session::plan_answer(const std::vector<path_hop>& path) const
@@ -620,7 +621,7 @@
     while (!m_client_disconnected && !m_quarantined && !m_ended)
     {
         auto path = find_free_path(avoided);
-        if (path.empty())
+        if (path.empty() && !m_outlasts_router)
             path = find_free_path({});
         if (!path.empty())
             co_return path;
--- a/tests/process/streams_at_stop_test.cpp
+++ b/tests/process/streams_at_stop_test.cpp
@@ -122,4 +122,63 @@
     CHECK(*exit_code == 0);
 }
 
+TEST_CASE("a stream of a service without a pipeline that arrives late at a stopping router")
+{
+    // Guards against a stream that is taken because nearly all others of its route are short, and
+    // is cut at the exit although its caller could have been sent to another router.
+    constexpr auto long_pause = 5s;
+    scripted_endpoint endpoint(
+        [&](const std::string& call, int) -> scripted_endpoint::reply
+        {
+            const auto head = fmt::format(
+                "HTTP/1.1 200 OK\r\nFulmaryard-Attempt-Id: {}\r\n"
+                "Fulmaryard-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+                "Connection: close\r\n\r\nid: 1\ndata: x\n\n",
+                call);
+            const std::string rest = "id: 2\ndata: x\n\n";
+            if (call.starts_with("long"))
+                return {head, true, long_pause, rest};
+            return {head + rest, true};
+        });
+    router_system system(0, 0);
+    system.add_endpoint("plain", endpoint, std::nullopt);
+    for (const std::string router : {"stopping", "staying"})
+        system.start_router(router);
+    const auto send = [&](const std::string& router, const std::string& id, int deadline_ms)
+    {
+        auto request = router_system::make_request("POST", "/feed-once/1", id);
+        request.m_fields[1].m_value = std::to_string(deadline_ms);
+        return std::async(
+            std::launch::async, [request, address = system.address(router)]
+            { return test_client(address).send(request, 20s); });
+    };
+    for (int i = 0; i < 60; ++i)
+    {
+        const auto answer = send("stopping", fmt::format("short-{}", i), 9'000).get();
+        REQUIRE(answer.ok());
+        CHECK(answer->m_status == 200);
+    }
+    // Keeps the router from an early exit.
+    auto before = send("stopping", "long-before", 9'000);
+    REQUIRE(wait_until([&] { return endpoint.arrivals("long-before") == 1; }));
+    system.process("stopping").kill(SIGTERM);
+    std::this_thread::sleep_for(3'300ms);
+
+    const auto late = send("stopping", "long-late", 9'000).get();
+    REQUIRE(late.ok());
+    CHECK(late->m_status == 503);
+    CHECK(find_field(late->m_fields, "Retry-After"));
+    CHECK(endpoint.arrivals("long-late") == 0);
+    // A deadline before the exit bounds any stream.
+    const auto bounded = send("stopping", "short-late", 2'000).get();
+    REQUIRE(bounded.ok());
+    CHECK(bounded->m_status == 200);
+    const auto again = send("staying", "long-again", 9'000).get();
+    REQUIRE(again.ok());
+    CHECK(again->m_status == 200);
+    const auto answer = before.get();
+    REQUIRE(answer.ok());
+    CHECK(answer->m_status == 200);
+}
+
 TEST_SUITE_END();
--- a/tests/unit/stop_admission_test.cpp
+++ b/tests/unit/stop_admission_test.cpp
@@ -73,6 +73,26 @@
         CHECK(expected(false)->m_duration == 8'700ms); // 200 tokens at twice 20 ms, and prefill.
         CHECK(expected(true)->m_duration == 16'700ms);
     }
+    SUBCASE("may be longer than all answers so far where nothing bounds it")
+    {
+        auto unbounded = make_stream();
+        SUBCASE("without a pipeline, whose paths have no known speed")
+        {
+            unbounded.m_has_pipeline = false;
+        }
+        SUBCASE("without a longest answer")
+        {
+            unbounded.m_max_tokens = 0;
+        }
+        answer(durations, "route", 100, 2s);
+        answer(durations, "service", 100, 2s);
+        const auto expected_then = [&](bool arrivals_end) {
+            return stop_admission::expected_duration(durations, unbounded, arrivals_end, true, now);
+        };
+        REQUIRE(expected_then(false));
+        CHECK(expected_then(false)->m_duration <= 2'001ms);
+        CHECK_FALSE(expected_then(true));
+    }
     SUBCASE("may last any time without a pipeline and without answers")
     {
         auto plain = make_stream();
