Quarantine: a part is not blamed for crashes that another one explains

Cause: a crash counted against each shared part of its request, and parts were judged one by one, so that all that three crashed requests share was found guilty. What a part had been answered before the first crash counted for nothing, and the answer that would acquit it could not come.

Fix: one part explains a crash. A part is not quarantined for crashes that a stronger suspect explains; crashes are compared by their number, with a tolerance of one that may have another cause, and none for a part that was answered lately. A quarantine does not apply to a request that lacks another quarantined part which explains the same crashes: requests with all of these are refused, and any other one tells them apart. Verdicts of other routers are weighed against the crashes of all routers in the same way.

Cost: a part that first crashes three times beside the same other part takes up to two more crashes before it is refused alone, unless the other part is answered meanwhile.

--- a/include/fulmaryard/prompt_quarantine.hpp
+++ b/include/fulmaryard/prompt_quarantine.hpp
@@ -2,6 +2,7 @@
 #define FULMARYARD_PROMPT_QUARANTINE_HPP
 
 #include <chrono>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -21,7 +22,12 @@
 /// endpoints crashed under it, none of its requests was answered since the first of them, and that
 /// would be unlikely for a sound part, given how many other requests are answered. After a time one
 /// router sends a single request as a trial; the quarantine ends when that is answered, and lasts
-/// twice as long when it crashes its endpoint. Does no I/O. Not thread-safe.
+/// twice as long when it crashes its endpoint.
+///
+/// One part of a request is enough to explain its crash. A part is not quarantined for crashes that
+/// a stronger suspect explains. Where several parts explain the same crashes about as well, only
+/// requests that hold all of them are kept away; the outcome of any other tells the parts apart.
+/// Does no I/O. Not thread-safe.
 class prompt_quarantine
 {
 public:
@@ -94,19 +100,46 @@
     std::uint64_t generation() const { return m_generation; }
 
 private:
+    using crash_times = std::map<std::string, time_point>; ///< By crashed run.
+
     struct part_state
     {
-        std::map<std::string, time_point> m_own_crashes; ///< By crashed run.
-        std::map<std::string, time_point> m_crashes;     ///< Those of all routers.
-        std::optional<time_point> m_answered;            ///< Last answer to this router.
+        crash_times m_own_crashes;
+        crash_times m_crashes;                   ///< Those of all routers.
+        std::optional<time_point> m_answered;    ///< Last answer to this router.
+        std::optional<time_point> m_last_answer; ///< Last answer to any router.
         std::optional<time_point> m_disputed; ///< When another router suspected an answered part.
         std::optional<time_point> m_until;    ///< End of the quarantine.
         std::chrono::milliseconds m_duration{0}; ///< Of the current quarantine; 0: none.
         std::optional<time_point> m_trial;       ///< When the last trial was sent.
     };
 
+    /// What speaks against a part; the greater, the more.
+    struct evidence
+    {
+        std::size_t m_moments{0}; ///< Of its crashes.
+        bool m_is_new{false};     ///< No router had it answered lately.
+
+        friend auto operator<=>(const evidence&, const evidence&) = default;
+    };
+
     static void acquit(part_state& state);
-    bool is_suspect(const part_state& state) const;
+    /// Number of crashes at different moments.
+    static std::size_t count_moments(const crash_times& crashes);
+    static evidence strength(const part_state& state, time_point now);
+    /// Whether the crashes of `other` explain those that it shares with `state`. Allows for one
+    /// crash of another cause in `state`, but asks for more of a part that was answered lately,
+    /// since few parts change.
+    static bool explains(const part_state& other, const part_state& state, time_point now);
+    /// Crashes in `state` that no other quarantined part explains which `counts`.
+    template <typename Predicate>
+    crash_times unexplained(const part_state& state, time_point now, const Predicate& counts) const;
+    /// Whether a sound part would hardly have `crashes`, some or all of those in `state`.
+    bool are_conclusive(const crash_times& crashes, const part_state& state) const;
+    /// Whether the part has crashes that neither chance nor a stronger suspect explains.
+    bool is_suspect(const part_state& state, time_point now) const;
+    /// Whether the quarantine of a part, given its state, applies to a request with `parts`.
+    bool applies_to(const part_state& state, const part_list& parts, time_point now) const;
     void begin_quarantine(part_state& state, time_point until, std::chrono::milliseconds duration);
     void count_outcomes(double answered, double crashed, time_point now);
 
--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -53,28 +53,85 @@
             continue;
         auto& state = m_parts[part];
         state.m_answered = now;
+        state.m_last_answer = now;
         if (!state.m_crashes.empty())
             state.m_disputed = now;
         acquit(state);
     }
 }
 
-bool prompt_quarantine::is_suspect(const part_state& state) const
+std::size_t prompt_quarantine::count_moments(const crash_times& crashes)
 {
     std::vector<time_point> times;
-    for (const auto& [run, time] : state.m_crashes)
+    for (const auto& [run, time] : crashes)
         times.push_back(time);
     std::sort(times.begin(), times.end());
-    std::size_t crashes = 0;
+    std::size_t moments = 0;
     for (std::size_t i = 0; i < times.size(); ++i)
-        crashes += i == 0 || times[i] - times[i - 1] >= crash_spacing ? 1 : 0;
+        moments += i == 0 || times[i] - times[i - 1] >= crash_spacing ? 1 : 0;
+    return moments;
+}
+
+prompt_quarantine::evidence prompt_quarantine::strength(const part_state& state, time_point now)
+{
+    const bool answered_lately =
+        state.m_last_answer && now - *state.m_last_answer < evidence_lifetime;
+    return {count_moments(state.m_crashes), !answered_lately};
+}
+
+bool prompt_quarantine::explains(const part_state& other, const part_state& state, time_point now)
+{
+    const auto [moments, is_new] = strength(other, now);
+    const auto needed = count_moments(state.m_crashes);
+    return is_new ? moments + 1 >= needed : moments > needed;
+}
+
+template <typename Predicate>
+prompt_quarantine::crash_times prompt_quarantine::unexplained(
+    const part_state& state, time_point now, const Predicate& counts) const
+{
+    auto crashes = state.m_crashes;
+    for (const auto& entry : m_parts)
+    {
+        const auto& other = entry.second;
+        if (&other == &state || !other.m_until || !explains(other, state, now) ||
+            !counts(entry.first, other))
+            continue;
+        std::erase_if(
+            crashes, [&](const auto& crash) { return other.m_crashes.contains(crash.first); });
+    }
+    return crashes;
+}
+
+bool prompt_quarantine::are_conclusive(const crash_times& crashes, const part_state& state) const
+{
+    const auto moments = count_moments(crashes);
     // A sound part crashes an endpoint as seldom as requests without it do. One of each outcome is
     // assumed, so that a few answers alone prove little.
     const double other_crashes =
         std::max(0.0, m_crashed - static_cast<double>(state.m_own_crashes.size()));
     const double crash_share = (other_crashes + 1) / (m_answered + other_crashes + 2);
-    return crashes >= min_crashes &&
-           std::pow(crash_share, static_cast<double>(crashes)) <= max_error;
+    return moments >= min_crashes &&
+           std::pow(crash_share, static_cast<double>(moments)) <= max_error;
+}
+
+bool prompt_quarantine::is_suspect(const part_state& state, time_point now) const
+{
+    const auto is_stronger = [&](const std::string&, const part_state& other)
+    { return !explains(state, other, now); };
+    return are_conclusive(unexplained(state, now, is_stronger), state);
+}
+
+bool prompt_quarantine::applies_to(
+    const part_state& state, const part_list& parts, time_point now) const
+{
+    if (!state.m_until)
+        return false;
+    const auto is_absent = [&](const std::string& part, const part_state&)
+    { return std::find(parts.begin(), parts.end(), part) == parts.end(); };
+    const auto crashes = unexplained(state, now, is_absent);
+    // Another router may have quarantined the part for crashes that are not known here yet.
+    return crashes.size() == state.m_crashes.size() || are_conclusive(crashes, state);
 }
 
 void prompt_quarantine::begin_quarantine(
@@ -89,7 +146,7 @@
 prompt_quarantine::part_list
 prompt_quarantine::on_crashed(const part_list& parts, const std::string& run, time_point now)
 {
-    part_list quarantined;
+    std::vector<std::pair<std::string, part_state*>> suspects;
     bool counted = false;
     for (const auto& part : parts)
     {
@@ -103,14 +160,23 @@
         }
         state.m_own_crashes.try_emplace(run, now);
         state.m_crashes.try_emplace(run, now);
-        if (state.m_until && now < *state.m_until)
-            continue;
-        const bool trial_failed = state.m_until.has_value();
-        if (!trial_failed && !is_suspect(state))
+        if (!state.m_until || now >= *state.m_until)
+            suspects.emplace_back(part, &state);
+    }
+    // Stronger suspects first: what they explain is no evidence against the others.
+    std::stable_sort(
+        suspects.begin(), suspects.end(),
+        [&](const auto& left, const auto& right)
+        { return strength(*left.second, now) > strength(*right.second, now); });
+    part_list quarantined;
+    for (const auto& [part, state] : suspects)
+    {
+        const bool trial_failed = state->m_until.has_value();
+        if (!trial_failed && !is_suspect(*state, now))
             continue;
         const auto duration =
-            trial_failed ? std::min(2 * state.m_duration, max_duration) : initial_duration;
-        begin_quarantine(state, now + duration, duration);
+            trial_failed ? std::min(2 * state->m_duration, max_duration) : initial_duration;
+        begin_quarantine(*state, now + duration, duration);
         quarantined.push_back(part);
     }
     return quarantined;
@@ -122,9 +188,10 @@
     if (found == m_parts.end() && (m_parts.size() >= max_parts || peer.m_crashes.empty()))
         return {};
     auto& state = m_parts[peer.m_part];
-    auto answered = state.m_answered.value_or(time_point::min());
     if (peer.m_answer)
-        answered = std::max(answered, now - *peer.m_answer);
+        state.m_last_answer =
+            std::max(state.m_last_answer.value_or(time_point::min()), now - *peer.m_answer);
+    const auto answered = state.m_last_answer.value_or(time_point::min());
     for (const auto& [run, crash_age] : peer.m_crashes)
     {
         if (now - crash_age > answered)
@@ -147,7 +214,7 @@
         state.m_duration = std::max({state.m_duration, initial_duration, *peer.m_quarantine});
         m_generation += was_clear ? 1 : 0;
     }
-    else if (was_clear && is_suspect(state))
+    else if (was_clear && is_suspect(state, now))
         begin_quarantine(state, now + initial_duration, initial_duration);
     return was_clear && state.m_until ? part_list{peer.m_part} : part_list{};
 }
@@ -160,7 +227,7 @@
     for (const auto& part : parts)
     {
         const auto found = m_parts.find(part);
-        if (found == m_parts.end() || !found->second.m_until)
+        if (found == m_parts.end() || !applies_to(found->second, parts, now))
             continue;
         auto& state = found->second;
         const bool trial_due =
@@ -182,7 +249,8 @@
         [&](const std::string& part)
         {
             const auto found = m_parts.find(part);
-            return found != m_parts.end() && found->second.m_until && now < *found->second.m_until;
+            return found != m_parts.end() && found->second.m_until &&
+                   now < *found->second.m_until && applies_to(found->second, parts, now);
         });
 }
 
--- a/tests/process/crashing_prompt_test.cpp
+++ b/tests/process/crashing_prompt_test.cpp
@@ -6,6 +6,20 @@
 using namespace fulmaryard::process_tests;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+/// A request whose prompt has the shared `parts`, followed by one of its own.
+http_request make_request(const std::string& id, const std::string& parts)
+{
+    auto request = router_system::make_request("POST", "/chat/1", id);
+    request.m_fields[2].m_value = "10,5";
+    request.m_fields.push_back({"Fulmaryard-Prompt-Prefix", parts + ",own" + id + ":4"});
+    return request;
+}
+
+} // namespace
+
 TEST_SUITE_BEGIN("requests_that_crash_endpoints");
 
 TEST_CASE("requests that share a part of the prompt which crashes endpoints")
@@ -23,13 +37,6 @@
         REQUIRE(wait_until([&] { return system.serves(router); }));
     }
     system.control({{"crash_part", "dead"}});
-    const auto make_request = [](const std::string& id, const std::string& parts)
-    {
-        auto request = router_system::make_request("POST", "/chat/1", id);
-        request.m_fields[2].m_value = "10,5";
-        request.m_fields.push_back({"Fulmaryard-Prompt-Prefix", parts + ",own" + id + ":4"});
-        return request;
-    };
     const auto start = std::chrono::steady_clock::now();
     const auto end = start + 14s;
     // Of the sound requests sent later than this, as many as usual are answered.
@@ -73,4 +80,44 @@
     CHECK(2 * sound_served >= sound_sent);
 }
 
+TEST_CASE("sound requests that share a part with three in a row that crash endpoints")
+{
+    // Guards against the refusal of sound requests because no answer to one of them came between
+    // the crashes.
+    router_system system(10);
+    system.start_router("router-1");
+    REQUIRE(wait_until([&] { return system.serves("router-1"); }));
+    system.control({{"crash_part", "dead"}});
+    const auto send = [&](const std::string& id, const std::string& parts)
+    {
+        const auto response = test_client(system.address("router-1")).send(make_request(id, parts));
+        return response.ok() && response->m_status == 200;
+    };
+    bool shared_was_answered = true;
+    SUBCASE("and whose part was answered before") {}
+    SUBCASE("and whose part is new")
+    {
+        shared_was_answered = false;
+    }
+    // Without other answers, a few crashes would prove little.
+    for (int i = 0; i < 30; ++i)
+        REQUIRE(send(fmt::format("other-{}", i), "other:4"));
+    if (shared_was_answered)
+        REQUIRE(send("shared", "shared:4"));
+    for (int i = 0; i < 3; ++i)
+    {
+        CHECK_FALSE(send(fmt::format("dead-{}", i), "shared:4,dead:2"));
+        std::this_thread::sleep_for(100ms);
+    }
+    CHECK(system.journal().at("crash_times").as_array().size() == 3);
+    int served = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        served += send(fmt::format("sound-{}", i), "shared:4") ? 1 : 0;
+        CHECK_FALSE(send(fmt::format("dead-{}", 10 + i), "shared:4,dead:2"));
+    }
+    CHECK(served >= 18);
+    CHECK(system.journal().at("crash_times").as_array().size() == 3);
+}
+
 TEST_SUITE_END();
