Settings: figures of the platform may have a fraction

The router refuses the settings at SIGHUP and keeps the longer time to stop; after a kill it ends with exit code 3 at each start, 24 times in 12 s, and 0 of 20 requests are served.

Cause: the template appended three zeros to the text of the figure, so that 7.5 s became "grace_ms: 7.5000", and the parser takes whole numbers only. retry_slack and instance_memory_mb are figures of the platform as well and were refused with a fraction, too.

Fix: grace_s is a number of seconds with or without a fraction, and what the template gives. A fraction as grace_ms is only read if it ends with three zeros: then an earlier template appended them, and the rest is seconds, since 7.5 s must not become 7.5 ms. retry_slack and instance_memory_mb are limits and rounded down. Both keys for one value are an error.

Process tests write grace_s with a fraction.

--- a/src/check_command.cpp
+++ b/src/check_command.cpp
@@ -43,8 +43,14 @@
     const auto text = read_text_file(path);
     if (!text.ok())
         return text.status();
-    const auto filled = fill_template_with_samples(*text);
-    return filled.ok() ? parse_router_settings(*filled, path).status() : filled.status();
+    for (const auto kind : {sample_kind::whole_numbers, sample_kind::fractions})
+    {
+        const auto filled = fill_template_with_samples(*text, kind);
+        auto status = filled.ok() ? parse_router_settings(*filled, path).status() : filled.status();
+        if (!status.ok())
+            return status;
+    }
+    return absl::OkStatus();
 }
 
 absl::Status check_file(const std::string& path)
--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -59,11 +59,9 @@
 // held up, one pass of the event loop does not read all requests that have arrived.
 constexpr int min_idle_ticks = 4;
 
-// Requests are ended this long before SIGKILL.
-constexpr std::chrono::milliseconds exit_margin_before_kill{400};
-
-// Time for the answers to these requests before the process exits.
-constexpr std::chrono::milliseconds final_answer_time{200};
+// Requests are ended this long before SIGKILL, or sooner if the time to stop is very short. Half of
+// it is for the answers to these requests.
+constexpr std::chrono::milliseconds max_exit_margin{400};
 
 // Requests that arrive before the first configuration and list of endpoints wait for these until
 // this long after the start, at most a third of their deadline. The store normally answers within
@@ -670,7 +668,13 @@
     /// When requests are ended if the drain began at `start`.
     steady::time_point exit_deadline(steady::time_point start) const
     {
-        return start + std::chrono::milliseconds(m_settings.m_grace_ms) - exit_margin_before_kill;
+        return start + std::chrono::milliseconds(m_settings.m_grace_ms) - exit_margin();
+    }
+
+    /// Time before SIGKILL in which requests are ended.
+    std::chrono::milliseconds exit_margin() const
+    {
+        return std::min(max_exit_margin, std::chrono::milliseconds(m_settings.m_grace_ms) / 2);
     }
 
     asio::awaitable<void> drain()
@@ -696,7 +700,7 @@
         }
         // The callers that are left learn what became of their requests; new ones are refused.
         m_refuses_long_requests = true;
-        const auto exit = m_exit_deadline + final_answer_time;
+        const auto exit = m_exit_deadline + exit_margin() / 2;
         while (m_caller_server.active_exchanges() > 0 && steady::now() < exit)
         {
             // Also those that were read meanwhile and wait for an endpoint.
--- a/src/settings_fields.hpp
+++ b/src/settings_fields.hpp
@@ -65,22 +65,25 @@
     field{
         "log_level", &router_settings::m_log_level,
         field_rules{false, 0, 0, check_log_level, true}},
+    field{
+        "grace_s", &router_settings::m_grace_ms,
+        field_rules{false, 0, 86'400'000, nullptr, true, &seconds_format}},
     field{
         "grace_ms", &router_settings::m_grace_ms,
-        field_rules{false, 500, 86'400'000, nullptr, true}},
+        field_rules{false, 0, 86'400'000, nullptr, true, &milliseconds_format}},
     field{
         "retry_percent", &router_settings::m_retry_percent,
         field_rules{false, 0, 100, nullptr, true}},
     field{
         "retry_slack", &router_settings::m_retry_slack,
-        field_rules{false, 0, 100'000, nullptr, true}},
+        field_rules{false, 0, 100'000, nullptr, true, &rounded_down_format}},
     field{
         "hedge_percent", &router_settings::m_hedge_percent,
         field_rules{false, 0, 10, nullptr, true}},
     field{"max_connections", &router_settings::m_max_connections, field_rules{false, 1, 1'000'000}},
     field{
         "instance_memory_mb", &router_settings::m_instance_memory_mb,
-        field_rules{false, 0, 1'000'000}},
+        field_rules{false, 0, 1'000'000, nullptr, false, &rounded_down_format}},
     field{
         "request_memory_bytes", &router_settings::m_request_memory_bytes,
         field_rules{false, 0, 4'294'967'295}},
--- a/src/yaml_reader.cpp
+++ b/src/yaml_reader.cpp
@@ -6,7 +6,6 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace fulmaryard
@@ -102,21 +101,21 @@
 std::uint64_t
 yaml_reader::read_number(const YAML::Node& node, const std::string& path, const field_rules& rules)
 {
-    const std::string what = fmt::format("a number from {} to {}", rules.m_min, rules.m_max);
+    const auto& format = *rules.m_format;
+    const std::string what = fmt::format(
+        "{} from {} to {}", format.m_name, rules.m_min / format.m_unit,
+        rules.m_max / format.m_unit);
     const std::string* text = read_scalar(node, path, what);
     if (text == nullptr)
         return rules.m_min;
-    std::uint64_t number = 0;
-    const char* end = text->data() + text->size();
-    const auto parsed = std::from_chars(text->data(), end, number);
+    const auto number = format.m_parse(*text);
     // yaml-cpp tags quoted scalars with "!"; a quoted "10" is a string, not a number.
-    if (text->empty() || parsed.ec != std::errc() || parsed.ptr != end || node.Tag() == "!" ||
-        number < rules.m_min || number > rules.m_max)
+    if (!number || node.Tag() == "!" || *number < rules.m_min || *number > rules.m_max)
     {
         add_expected_error(node, path, what);
         return rules.m_min;
     }
-    return number;
+    return *number;
 }
 
 bool yaml_reader::require_list(const YAML::Node& node, const std::string& path)
--- a/src/yaml_reader.hpp
+++ b/src/yaml_reader.hpp
@@ -99,6 +99,7 @@
         if (!members)
             return;
         std::set<std::string_view> known;
+        std::set<const void*> given; // Members; some have two keys with different units.
         for_each_field<Aggregate>(
             [&](const auto& description)
             {
@@ -115,7 +116,9 @@
                 const YAML::Node& member = found->second.second;
                 record_line(key, member_path);
                 // yaml-cpp positions an empty value at the next token, so the key gives the line.
-                if (member.IsNull())
+                if (!given.insert(&(value.*description.m_member)).second)
+                    add_expected_error(key, member_path, "only one of the keys for this value");
+                else if (member.IsNull())
                     add_expected_error(key, member_path, "a value; it is empty");
                 else
                     read(member, member_path, value.*description.m_member, description.m_rules);
--- a/tests/process/router_system.hpp
+++ b/tests/process/router_system.hpp
@@ -105,10 +105,11 @@
         fmt::print(
             file,
             "name: {}\nregion: r\nfailure_domain: domain-1\nplatform: {}\nlisten: {}\n"
-            "ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\ngrace_ms: {}\n{}",
+            "ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\ngrace_s: {:.3f}\n{}",
             name, link == m_links.end() ? m_store : link->second.m_relay.address(),
             settings.m_listen.address(), settings.m_ready.address(), settings.m_metrics.address(),
-            settings.m_peer.address(), grace.count(), extra_settings);
+            settings.m_peer.address(), std::chrono::duration<double>(grace).count(),
+            extra_settings);
         std::fclose(file);
     }
 
--- a/tests/unit/settings_parser_test.cpp
+++ b/tests/unit/settings_parser_test.cpp
@@ -145,6 +145,77 @@
               .ok());
 }
 
+TEST_CASE("settings of a router that have a fraction")
+{
+    // Guards against a router that does not start because the platform gives a fraction.
+    const auto parse = [](const std::string& line)
+    {
+        const std::string text =
+            "name: router-1\nregion: be-1\nfailure_domain: be-1a\nplatform: 127.0.0.1:7000\n"
+            "listen: 127.0.0.1:1\nready_listen: 127.0.0.1:2\nmetrics_listen: 127.0.0.1:3\n"
+            "peer_listen: 127.0.0.1:4\n";
+        return parse_router_settings(text + line + "\n", "router.yaml");
+    };
+    const auto grace = [&](const std::string& line)
+    {
+        CAPTURE(line);
+        const auto settings = parse(line);
+        REQUIRE(settings.ok());
+        return settings->m_grace_ms;
+    };
+    const auto error = [&](const std::string& line)
+    {
+        const auto settings = parse(line);
+        return settings.ok() ? "none" : std::string(message_of(settings.status()));
+    };
+    SUBCASE("of seconds are kept to the millisecond")
+    {
+        CHECK(grace("grace_s: 7.5") == 7'500);
+        CHECK(grace("grace_s: 7.3") == 7'300);
+        CHECK(grace("grace_s: 8") == 8'000);
+        CHECK(grace("grace_s: 8.0") == 8'000);
+        CHECK(grace("grace_s: 0.25") == 250);
+    }
+    SUBCASE("of seconds are understood where a template has appended three zeros")
+    {
+        CHECK(grace("grace_ms: 7.5000") == 7'500);
+        CHECK(grace("grace_ms: 12.25000") == 12'250);
+        CHECK(grace("grace_ms: 8.0000") == 8'000);
+        CHECK(grace("grace_ms: 8000") == 8'000);
+    }
+    SUBCASE("of counts are rounded down")
+    {
+        CHECK(parse("retry_slack: 198.7")->m_retry_slack == 198);
+        CHECK(parse("instance_memory_mb: 260.5")->m_instance_memory_mb == 260);
+    }
+    SUBCASE("are refused with what is expected where they are none")
+    {
+        for (const std::string text : {"-1", "1e3", ".5", "5.", "1.5.0", "x", "nan", "86401"})
+        {
+            CAPTURE(text);
+            CHECK(
+                error("grace_s: " + text) ==
+                "router.yaml:9: grace_s: expected a number of seconds from 0 to 86400");
+        }
+        for (const std::string text : {"7.5", "1500.000", "7500.5"})
+        {
+            CAPTURE(text);
+            CHECK(
+                error("grace_ms: " + text) ==
+                "router.yaml:9: grace_ms: expected a number from 0 to 86400000");
+        }
+        CHECK(
+            error("max_connections: 10.5").find("max_connections: expected a number") !=
+            std::string::npos);
+    }
+    SUBCASE("are refused where two keys give one value")
+    {
+        CHECK(
+            error("grace_s: 8\ngrace_ms: 7000").find("expected only one of the keys") !=
+            std::string::npos);
+    }
+}
+
 TEST_CASE("settings of a router that change while it runs")
 {
     router_settings settings;
--- a/tests/unit/wire_protocol_test.cpp
+++ b/tests/unit/wire_protocol_test.cpp
@@ -139,6 +139,11 @@
     REQUIRE(settings.ok());
     CHECK(settings->m_grace_ms == 8000);
     CHECK(settings->m_retry_slack == 198);
+    const auto fractions = fill_template_with_samples(text, sample_kind::fractions);
+    REQUIRE(fractions.ok());
+    const auto with_fractions = parse_router_settings(*fractions, "template");
+    REQUIRE(with_fractions.ok());
+    CHECK(with_fractions->m_grace_ms == 7'500);
     const auto unknown = fill_template_with_samples("name: {{nobody}}");
     REQUIRE_FALSE(unknown.ok());
     CHECK(message_of(unknown.status()).find("{{nobody}}") != std::string_view::npos);
