--- a/src/field_table.hpp
+++ b/src/field_table.hpp
@@ -24,8 +24,8 @@
     std::uint64_t m_max{std::numeric_limits<std::uint32_t>::max()};
     text_check m_check{nullptr}; ///< Applied to a text, or to each text in a list.
     bool m_reloadable{false};    ///< A running process takes over a changed value.
-    const number_format* m_format{
-        &whole_number_format}; ///< Of a number; the bounds are in its unit.
+    /// How a number is written. The bounds are in the unit in which it is kept.
+    const number_format* m_format{&whole_number_format};
 };
 
 /// One member of an aggregate with its key in YAML and JSON.
--- a/src/number_format.hpp
+++ b/src/number_format.hpp
@@ -13,7 +13,7 @@
 {
     /// Returns nullopt if the text is not such a number.
     std::optional<std::uint64_t> (*m_parse)(std::string_view text);
-    std::string_view m_name;
+    std::string_view m_name; ///< For error messages.
     std::uint64_t m_unit{1}; ///< What is kept of a 1 in the file.
 };
 
@@ -25,8 +25,8 @@
 /// A number of seconds with or without a fraction, in milliseconds.
 std::optional<std::uint64_t> parse_seconds(std::string_view text);
 
-/// A whole number of milliseconds. Templates up to 2026-12 appended three zeros to a number of
-/// seconds, which gives "7.5000" for 7.5 s, so a fraction that ends with three zeros is read as
+/// A whole number of milliseconds. Templates of earlier releases appended three zeros to a number
+/// of seconds, which gives "7.5000" for 7.5 s, so a fraction that ends with three zeros is read as
 /// such a number of seconds.
 std::optional<std::uint64_t> parse_milliseconds(std::string_view text);
 
