Quarantine: verdicts come first in reports to other routers

A report to other routers holds 32 parts and was filled in the order of their names. Each crash puts the parts of all requests at the endpoint under suspicion, so with more parts than that a quarantined one, or an answer that acquits one, could be left out, and each router had to see three crashes of its own.

Quarantines and answers that end them go first, then parts by their crashes.

New test, prompt_quarantine_test "reports while many parts are under suspicion": before, 4 of 7 assertions failed; passes. All unit tests pass.

--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <tuple>
+#include <utility>
 
 namespace fulmaryard
 {
@@ -268,13 +270,37 @@
 
 std::vector<prompt_quarantine::report> prompt_quarantine::reports(time_point now) const
 {
-    std::vector<report> reports;
+    struct entry
+    {
+        bool m_is_verdict; ///< A quarantine, or an answer that ends one.
+        std::size_t m_moments;
+        const std::string* m_part;
+        const part_state* m_state;
+    };
+    std::vector<entry> entries;
     for (const auto& [part, state] : m_parts)
     {
         const bool disputed = state.m_disputed && now - *state.m_disputed < answer_report_time;
-        if ((state.m_crashes.empty() && !disputed) || reports.size() >= max_reports)
-            continue;
-        report own{part, {}, std::nullopt, std::nullopt};
+        if (!state.m_crashes.empty() || disputed)
+        {
+            entries.push_back(
+                {disputed || state.m_until.has_value(), count_moments(state.m_crashes), &part,
+                 &state});
+        }
+    }
+    std::stable_sort(
+        entries.begin(), entries.end(),
+        [](const entry& left, const entry& right)
+        {
+            return std::tie(left.m_is_verdict, left.m_moments) >
+                   std::tie(right.m_is_verdict, right.m_moments);
+        });
+    entries.resize(std::min(entries.size(), max_reports));
+    std::vector<report> reports;
+    for (const auto& entry : entries)
+    {
+        const auto& state = *entry.m_state;
+        report own{*entry.m_part, {}, std::nullopt, std::nullopt};
         for (const auto& [run, time] : state.m_own_crashes)
             own.m_crashes[run] = age(now - time);
         if (state.m_answered)
--- a/tests/unit/prompt_quarantine_test.cpp
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -413,6 +413,42 @@
     CHECK_FALSE(routers[1].quarantined(deadly, start + 2s));
 }
 
+TEST_CASE("reports while many parts are under suspicion")
+{
+    // Guards against routers that do not learn of a deadly part because others come before it.
+    prompt_quarantine quarantine;
+    answer(quarantine, {"a"}, start);
+    answer(quarantine, {"a"}, start + 1s);
+    prompt_quarantine::part_list many;
+    for (int i = 0; i < 100; ++i)
+        many.push_back(fmt::format("b-{}", i));
+    quarantine.on_crashed(many, "run-9", start + 2s);
+    for (int i = 0; i < 3; ++i)
+        quarantine.on_crashed({"dead"}, fmt::format("run-{}", i), start + 2s + i * 100ms);
+    const auto now = start + 3s;
+    const auto reported = [&](const std::string& part)
+    {
+        const auto reports = quarantine.reports(now);
+        return std::any_of(
+            reports.begin(), reports.end(),
+            [&](const auto& report) { return report.m_part == part; });
+    };
+    CHECK(quarantine.quarantined({"dead"}, now));
+    CHECK(reported("dead"));
+
+    SUBCASE("also tell of an answer that acquits a part")
+    {
+        quarantine.on_crashed({"sound"}, "run-10", now - 500ms);
+        quarantine.on_answered({"sound"}, now);
+        CHECK(reported("sound"));
+        CHECK(reported("dead"));
+    }
+    SUBCASE("fit into one message")
+    {
+        CHECK(quarantine.reports(now).size() <= 32);
+    }
+}
+
 TEST_CASE("a sound part of a prompt is not quarantined")
 {
     // Guards against the refusal of requests because endpoints crashed for other reasons.
