Routers: a very short time to stop is used up to its last sixth

Requests that are left at a stop were ended 0.4 s before SIGKILL.

The margin is a sixth of the time to stop, at most 0.4 s; half of it is for the last answers, as before.

--- a/src/router_process.cpp
+++ b/src/router_process.cpp
@@ -59,9 +59,10 @@
 // held up, one pass of the event loop does not read all requests that have arrived.
 constexpr int min_idle_ticks = 4;
 
-// Requests are ended this long before SIGKILL, or sooner if the time to stop is very short. Half of
-// it is for the answers to these requests.
+// Requests are ended this long before SIGKILL, but not before the last sixth of the time to stop.
+// Half of the margin is for the answers to these requests.
 constexpr std::chrono::milliseconds max_exit_margin{400};
+constexpr int exit_margin_divisor = 6;
 
 // Requests that arrive before the first configuration and list of endpoints wait for these until
 // this long after the start, at most a third of their deadline. The store normally answers within
@@ -674,7 +675,8 @@
     /// Time before SIGKILL in which requests are ended.
     std::chrono::milliseconds exit_margin() const
     {
-        return std::min(max_exit_margin, std::chrono::milliseconds(m_settings.m_grace_ms) / 2);
+        const std::chrono::milliseconds grace(m_settings.m_grace_ms);
+        return std::min(max_exit_margin, grace / exit_margin_divisor);
     }
 
     asio::awaitable<void> drain()
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -66,7 +66,7 @@
 TEST_CASE("a shorter time to stop that the settings name after the start")
 {
     // Guards against a router that counts on the time of its start and is killed before its exit.
-    constexpr auto grace = 3s;
+    std::chrono::milliseconds grace = 3s;
     scripted_endpoint silent(
         [](const std::string&, int) -> scripted_endpoint::reply {
             return {"", false};
@@ -104,6 +104,17 @@
         CHECK(router.wait(grace - 500ms).ok());
         CHECK(answer.get().ok());
     }
+    SUBCASE("is used up to its last sixth when it is very short")
+    {
+        // Guards against requests that are ended before a cut of them is excused.
+        grace = 1'800ms;
+        reload("");
+        const auto start = std::chrono::steady_clock::now();
+        router.kill(SIGTERM);
+        CHECK(answer.get().ok());
+        CHECK(std::chrono::steady_clock::now() - start >= grace * 5 / 6);
+        CHECK(router.wait(grace / 6).ok());
+    }
     SUBCASE("is not taken over from settings with an error")
     {
         reload("retry_percent: 500\n");
