--- a/include/fulmaryard/http_message.hpp
+++ b/include/fulmaryard/http_message.hpp
@@ -40,6 +40,12 @@
     friend auto operator<=>(const http_response&, const http_response&) = default;
 };
 
+/// Whether a response may have this status code (RFC 9110, section 15).
+constexpr bool is_status_code(unsigned status)
+{
+    return status >= 100 && status < 600;
+}
+
 /// Returns the value of the first field whose name equals `name`, ignoring case; nullopt if there
 /// is none. The view points into `fields`.
 std::optional<std::string_view>
--- a/src/endpoint_channel.cpp
+++ b/src/endpoint_channel.cpp
@@ -1,6 +1,7 @@
 #include "http_conversion_inl.hpp"
 #include "late_reads.hpp"
 #include "operation_deadline.hpp"
+#include "response_parser_inl.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/endpoint_channel.hpp>
@@ -10,7 +11,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -106,7 +106,7 @@
     beast::tcp_stream m_stream;
     operation_deadline m_deadline;
     beast::flat_buffer m_buffer{max_buffered_bytes};
-    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::optional<response_parser<http::buffer_body>> m_parser;
     std::string m_address;
     std::chrono::milliseconds m_keep_alive_timeout{default_keep_alive_timeout};
     time_point m_reusable_until;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http_conversion_inl.hpp"
 #include "late_reads.hpp"
 #include "operation_deadline.hpp"
+#include "response_parser_inl.hpp"
 #include "use_tuple_inl.hpp"
 
 #include <fulmaryard/failure.hpp>
@@ -13,8 +14,8 @@
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -177,7 +178,7 @@
     /// Reads one response, recording its progress in `transfer` unless that is null. `next_read` is
     /// the deadline of the next read.
     static asio::awaitable<beast::error_code> read_response(
-        pooled_connection& connection, http::response_parser<http::string_body>& parser,
+        pooled_connection& connection, response_parser<http::string_body>& parser,
         const exchange_deadlines& deadlines, exchange_deadlines::time_point& next_read,
         http_transfer* transfer)
     {
@@ -217,7 +218,7 @@
             co_return attempt_result{
                 io_failure(write_error, dispatch_progress::sent),
                 write_error != beast::error::timeout, false};
-        std::optional<http::response_parser<http::string_body>> parser;
+        std::optional<response_parser<http::string_body>> parser;
         for (int provisional = 0;; ++provisional)
         {
             parser.emplace();
--- a/tests/process/reported_faults_entry_test.cpp
+++ b/tests/process/reported_faults_entry_test.cpp
@@ -334,4 +334,41 @@
     }
 }
 
+TEST_CASE("a worker whose answers are invalid")
+{
+    // Guards against an answer that is passed on although it is not a valid HTTP response.
+    const std::vector<std::string> heads{
+        "garbage\r\n", "HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 Oops\r\n",
+        "HTTP/1.1 999 Oops\r\n"};
+    const std::vector<std::string> rests{
+        "Content-Length: 4\r\n\r\ndone", "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+        "\r\ndone", "\r\n"};
+    std::string bytes;
+    scripted_worker_system system(
+        [&](const std::string&, int) -> scripted_endpoint::reply {
+            return {bytes, true};
+        },
+        1, "", "");
+    int call_count = 0;
+    for (const auto& head : heads)
+    {
+        for (const auto& rest : rests)
+        {
+            bytes = head + rest;
+            CAPTURE(bytes);
+            for (const std::string method : {"POST", "GET"})
+            {
+                const auto id = fmt::format("call-{}", ++call_count);
+                const auto answer = system.send(method, id);
+                CHECK(system.worker().arrivals(id) >= 1);
+                REQUIRE(answer.ok());
+                CHECK(answer->m_status == 502);
+                CHECK(outcome_in(*answer) == "unknown");
+                if (method == "POST")
+                    CHECK(system.worker().arrivals(id) == 1);
+            }
+        }
+    }
+}
+
 TEST_SUITE_END();
