HTTP: reject responses with folded header lines

A caller got an answer of an endpoint in whose head a line began with a blank: its bytes were joined to the value of the field before it, so that the caller read another Fulmaryard-Response-Signature than the endpoint had sent.

Cause: Beast joins folded lines (obs-fold) with a blank and says nothing of it. RFC 9112, section 5.2, leaves a gateway two ways: to discard the response, or to replace each fold by blanks. The second changes a value that has to be passed on unchanged, so the first is taken.

Change: response_parser fails with bad_obs_fold, in the head of a response, of a provisional one and in trailers, for every field and thus also for those that delimit the body. Beast hands over the value without the line ends, so the parser looks at the received bytes behind the name.

Evidence, the tests before and with the change: - process.invalid_answers, one endpoint, three folded lines in four framings: 24 of 24 plain calls and 9 of 12 streams got the answer (the other three had no event); now none. Beside a sound endpoint 12 of 12 and 9 of 12; now none. - process.reported_faults_entry, a folded Content-Type: 16 of 16 calls by side processes; now none. - unit.reported_faults "folded header lines of responses", each reader, also with the bytes split anywhere: 195 of 195 assertions failed; now none.

--- a/src/response_parser_inl.hpp
+++ b/src/response_parser_inl.hpp
@@ -17,8 +17,10 @@
 /// Parser of HTTP/1.1 responses, with the interface of Beast's `http::response_parser`. Every
 /// reader of responses uses it.
 ///
-/// Also rejects a status code outside 100 to 599 (RFC 9110, section 15), which Beast accepts, with
-/// `bad_status`.
+/// Also rejects what Beast accepts:
+/// - a status code outside 100 to 599 (RFC 9110, section 15), with `bad_status`;
+/// - a field value that continues on the next line, with `bad_obs_fold`. RFC 9112, section 5.2, has
+///   a gateway either discard such a response or change the value.
 template <typename Body>
 class response_parser : public boost::beast::http::basic_parser<false>
 {
@@ -39,6 +41,17 @@
     using field = boost::beast::http::field;
     using string_view = boost::beast::string_view;
 
+    /// Whether the value of a field continues on the next line. `name` points into the received
+    /// bytes, where the parser has read the line and one byte more.
+    static bool is_folded(string_view name)
+    {
+        const char* end_of_line = name.data() + name.size();
+        while (*end_of_line != '\r')
+            ++end_of_line;
+        const char next = end_of_line[2];
+        return next == ' ' || next == '\t';
+    }
+
     void on_request_impl(
         boost::beast::http::verb /*method*/, string_view /*method_string*/, string_view /*target*/,
         int /*version*/, error_code& /*result*/) override
@@ -59,9 +72,12 @@
     }
 
     void on_field_impl(
-        field name, string_view name_string, string_view value, error_code& /*result*/) override
+        field name, string_view name_string, string_view value, error_code& result) override
     {
-        m_message.insert(name, name_string, value);
+        if (is_folded(name_string))
+            result = error::bad_obs_fold;
+        else
+            m_message.insert(name, name_string, value);
     }
 
     void on_header_impl(error_code& /*result*/) override {}
--- a/tests/process/invalid_answers_test.cpp
+++ b/tests/process/invalid_answers_test.cpp
@@ -31,9 +31,15 @@
 const std::string ok_line = "HTTP/1.1 200 OK\r\n";
 
 const std::vector<invalid_answer> invalid_answers{
-    {"garbage\r\n", "", "bad version"},          {"HTTP/1.1 000 OK\r\n", "", "bad status"},
-    {"HTTP/1.1 099 \r\n", "", "bad status"},     {"HTTP/1.1 600 Oops\r\n", "", "bad status"},
-    {"HTTP/1.1 999 Oops\r\n", "", "bad status"}, {"HTTP/1.1 2000 OK\r\n", "", "bad status"}};
+    {"garbage\r\n", "", "bad version"},
+    {"HTTP/1.1 000 OK\r\n", "", "bad status"},
+    {"HTTP/1.1 099 \r\n", "", "bad status"},
+    {"HTTP/1.1 600 Oops\r\n", "", "bad status"},
+    {"HTTP/1.1 999 Oops\r\n", "", "bad status"},
+    {"HTTP/1.1 2000 OK\r\n", "", "bad status"},
+    {ok_line, " folded\r\n", "bad obs-fold"},
+    {ok_line, "\tfolded\r\n", "bad obs-fold"},
+    {ok_line, "X:\r\n folded\r\n", "bad obs-fold"}};
 
 std::string chunked(const std::string& body)
 {
--- a/tests/process/reported_faults_entry_test.cpp
+++ b/tests/process/reported_faults_entry_test.cpp
@@ -337,9 +337,15 @@
 TEST_CASE("a worker whose answers are invalid")
 {
     // Guards against an answer that is passed on although it is not a valid HTTP response.
+    const std::string ok_line = "HTTP/1.1 200 OK\r\n";
     const std::vector<std::string> heads{
-        "garbage\r\n", "HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 Oops\r\n",
-        "HTTP/1.1 999 Oops\r\n"};
+        "garbage\r\n",
+        "HTTP/1.1 000 OK\r\n",
+        "HTTP/1.1 099 OK\r\n",
+        "HTTP/1.1 600 Oops\r\n",
+        "HTTP/1.1 999 Oops\r\n",
+        ok_line + "Content-Type: text/plain\r\n folded\r\n",
+        ok_line + "Content-Type:\r\n\ttext/plain\r\n"};
     const std::vector<std::string> rests{
         "Content-Length: 4\r\n\r\ndone", "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
         "\r\ndone", "\r\n"};
--- a/tests/unit/invalid_response_test.cpp
+++ b/tests/unit/invalid_response_test.cpp
@@ -198,6 +198,19 @@
     return fmt::format("HTTP/1.1 200 OK\r\n{}{}", lines, rest);
 }
 
+/// A response after a provisional one with `lines` in its header.
+std::string with_lines_before(std::string_view lines)
+{
+    return fmt::format("HTTP/1.1 103 Early Hints\r\n{}\r\n{}", lines, with_lines(""));
+}
+
+/// A response with `lines` in its trailer section.
+std::string with_trailers(std::string_view lines)
+{
+    return with_lines(
+        "", fmt::format("Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n{}\r\n", lines));
+}
+
 } // namespace
 
 TEST_SUITE_BEGIN("reported_faults");
@@ -256,4 +269,54 @@
     }
 }
 
+TEST_CASE("folded header lines of responses")
+{
+    // Guards against a field whose value is not the one that was sent.
+
+    SUBCASE("are rejected")
+    {
+        for (const auto* const folded :
+             {"X: a\r\n b\r\n", "X: a\r\n\tb\r\n", "X: a\r\n    \t b\r\n", "X:\r\n b\r\n",
+              "X: \t\r\n \t\r\n b\r\n", "X: a\r\n \r\n", "X: a\r\n b\r\n c\r\n",
+              "X: a\r\n Y: b\r\n", "X: a\r\n : b\r\n", "Content-Type:\r\n text/plain\r\n"})
+        {
+            check_rejected(with_lines(folded), "bad obs-fold");
+            check_rejected(with_lines(fmt::format("Y: c\r\n{}", folded)), "bad obs-fold");
+        }
+        check_rejected(
+            with_lines("Content-Length: 4\r\nX: a\r\n b\r\n", "\r\ndone"), "bad obs-fold");
+    }
+
+    SUBCASE("are rejected for the fields that delimit the body")
+    {
+        check_rejected(with_lines("Content-Length:\r\n 4\r\n", "\r\ndone"), "bad obs-fold");
+        check_rejected(with_lines("Content-Length: 4\r\n \r\n", "\r\ndone"), "bad obs-fold");
+        check_rejected(
+            with_lines("Transfer-Encoding:\r\n\tchunked\r\n", "\r\n4\r\ndone\r\n0\r\n\r\n"),
+            "bad obs-fold");
+    }
+
+    SUBCASE("are rejected however the body is delimited")
+    {
+        for (const auto& framing : framings)
+            check_rejected(with_lines("X: a\r\n b\r\n", framing), "bad obs-fold");
+    }
+
+    SUBCASE("are rejected wherever their bytes are split")
+    {
+        const auto bytes = with_lines("X: a\r\n b\r\n");
+        for (auto split_at = bytes.find("X: a"); split_at < bytes.size(); ++split_at)
+        {
+            CAPTURE(split_at);
+            check_rejected(bytes, "bad obs-fold", split_at);
+        }
+    }
+
+    SUBCASE("are rejected in provisional responses and trailers")
+    {
+        check_rejected(with_lines_before("X: a\r\n b\r\n"), "bad obs-fold");
+        check_rejected(with_trailers("X: a\r\n b\r\n"), "bad obs-fold");
+    }
+}
+
 TEST_SUITE_END();
