Tests: field names of responses, and unusual but valid responses

No change of the product. A field name with a blank, a tab, a control byte, NUL, DEL or a byte above 127, in the middle or before the colon, is rejected by Beast already: in heads, provisional heads and trailers, also for the fields that delimit the body. The tests keep that, for each reader and on routers and side processes.

Others keep what the standard allows and is served: no reason phrase, blanks around a value, empty values, bytes above 127 in values, every token character in names, long and many fields, the same field twice, provisional heads, trailers and chunk extensions.

--- a/tests/process/invalid_answers_test.cpp
+++ b/tests/process/invalid_answers_test.cpp
@@ -39,7 +39,15 @@
     {"HTTP/1.1 2000 OK\r\n", "", "bad status"},
     {ok_line, " folded\r\n", "bad obs-fold"},
     {ok_line, "\tfolded\r\n", "bad obs-fold"},
-    {ok_line, "X:\r\n folded\r\n", "bad obs-fold"}};
+    {ok_line, "X:\r\n folded\r\n", "bad obs-fold"},
+    {ok_line, "X Y: value\r\n", "bad field"},
+    {ok_line, "X\t: value\r\n", "bad field"},
+    {ok_line, "X\x01Y: value\r\n", "bad field"},
+    {ok_line, std::string("X\0Y: value\r\n", 12), "bad field"},
+    {ok_line, "X\x7f: value\r\n", "bad field"},
+    {ok_line, "X\xe9: value\r\n", "bad field"},
+    {ok_line, "Content-Length : 2\r\n", "bad field"},
+    {ok_line, "Transfer-Encoding\t: chunked\r\n", "bad field"}};
 
 std::string chunked(const std::string& body)
 {
@@ -218,4 +226,77 @@
     }
 }
 
+TEST_CASE("an endpoint whose answers are unusual but valid")
+{
+    // Guards against checks that reject more than the standard does.
+    const std::string many_fields = []
+    {
+        std::string lines;
+        for (int i = 0; i < 50; ++i)
+            lines += fmt::format("X-{}: {}\r\n", i, std::string(100, 'v'));
+        return lines;
+    }();
+    struct unusual_answer
+    {
+        std::string m_before; ///< Provisional responses.
+        std::string m_status_line;
+        std::string m_lines;
+        http_field m_field; ///< As the caller gets it; without a name, none is checked.
+    };
+    const std::vector<unusual_answer> answers{
+        {"", "HTTP/1.1 200 \r\n", "", {}},
+        {"", ok_line, "X-A: \t value \t \r\n", {"X-A", "value"}},
+        {"", ok_line, "X-A:\r\n", {"X-A", ""}},
+        {"", ok_line, "X-A: \x80\xff\r\n", {"X-A", "\x80\xff"}},
+        {"", ok_line, "!#$%&'*+-.^_`|~09azAZ: value\r\n", {"!#$%&'*+-.^_`|~09azAZ", "value"}},
+        {"", ok_line, many_fields, {"X-49", std::string(100, 'v')}},
+        {"", ok_line, "X-A: a\r\nX-A: a\r\n", {"X-A", "a"}},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX: a\r\n\r\n", ok_line, "", {}}};
+    const auto script = [&](const std::string& target)
+    {
+        return [&, body = body_for(target)](const std::string& call, int)
+        {
+            const auto& answer = answers.at(std::stoul(call.substr(call.find('-') + 1)));
+            const auto rest =
+                call.ends_with("chunked")
+                    ? fmt::format(
+                          "Transfer-Encoding: chunked\r\n\r\n{:x};name=\"a b\"\r\n{}\r\n0\r\n"
+                          "Trailer-Field: value\r\n\r\n",
+                          body.size(), body)
+                    : with_length(body);
+            return scripted_endpoint::reply{
+                answer.m_before + answer.m_status_line +
+                fmt::format(
+                    "Fulmaryard-Attempt-Id: {}\r\n{}: s\r\n{}{}", call, signature_field,
+                    answer.m_lines, rest)};
+        };
+    };
+    scripted_endpoint plain(script("/orders/1"));
+    scripted_endpoint model(script(stream_target));
+    router_system system(0, 0);
+    system.add_endpoint("plain", plain, std::nullopt);
+    system.add_endpoint("first", model, layer_range{0, 6});
+    system.add_endpoint("last", model, layer_range{6, 12});
+    system.start_router("router-1");
+    const test_client client(system.address("router-1"));
+    for (const std::string target : {"/orders/1", stream_target})
+    {
+        for (std::size_t i = 0; i < answers.size(); ++i)
+        {
+            for (const std::string framing : {"length", "chunked"})
+            {
+                const auto id = fmt::format("{}-{}-{}", target.substr(1, 4), i, framing);
+                CAPTURE(id);
+                const auto response = client.send(router_system::make_request("POST", target, id));
+                REQUIRE(response.ok());
+                CHECK(response->m_status == 200);
+                CHECK(response->m_body == body_for(target));
+                CHECK(find_field(response->m_fields, signature_field) == "s");
+                if (const auto& field = answers[i].m_field; !field.m_name.empty())
+                    CHECK(find_field(response->m_fields, field.m_name) == field.m_value);
+            }
+        }
+    }
+}
+
 TEST_SUITE_END();
--- a/tests/process/reported_faults_entry_test.cpp
+++ b/tests/process/reported_faults_entry_test.cpp
@@ -345,7 +345,10 @@
         "HTTP/1.1 600 Oops\r\n",
         "HTTP/1.1 999 Oops\r\n",
         ok_line + "Content-Type: text/plain\r\n folded\r\n",
-        ok_line + "Content-Type:\r\n\ttext/plain\r\n"};
+        ok_line + "Content-Type:\r\n\ttext/plain\r\n",
+        ok_line + "X Y: value\r\n",
+        ok_line + "X\x01: value\r\n",
+        ok_line + "Content-Length : 2\r\n"};
     const std::vector<std::string> rests{
         "Content-Length: 4\r\n\r\ndone", "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
         "\r\ndone", "\r\n"};
--- a/tests/unit/invalid_response_test.cpp
+++ b/tests/unit/invalid_response_test.cpp
@@ -319,4 +319,94 @@
     }
 }
 
+TEST_CASE("field names of responses")
+{
+    // Guards against a response in whose field names a reader sees something else than its sender.
+
+    SUBCASE("consist of token characters")
+    {
+        constexpr std::string_view token_characters =
+            "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
+        for (int byte = 0; byte < 256; ++byte)
+        {
+            const char character = static_cast<char>(byte);
+            if (character == ':') // Ends the name.
+                continue;
+            CAPTURE(byte);
+            const auto name = fmt::format("X{}Y", character);
+            const auto bytes = with_lines(fmt::format("{}: value\r\n", name));
+            if (token_characters.find(character) != std::string_view::npos)
+            {
+                check_accepted(bytes, 200, "done", {name, "value"});
+                continue;
+            }
+            check_rejected(bytes, "bad field");
+            check_rejected(with_lines(fmt::format("XY{}: value\r\n", character)), "bad field");
+        }
+    }
+
+    SUBCASE("are checked for the fields that delimit the body")
+    {
+        for (const auto* const separator : {" ", "\t", "\x01", "\x7f", "\x80"})
+        {
+            check_rejected(
+                with_lines(fmt::format("Content-Length{}: 4\r\n", separator), "\r\ndone"),
+                "bad field");
+            check_rejected(
+                with_lines(
+                    fmt::format("Transfer-Encoding{}: chunked\r\n", separator),
+                    "\r\n4\r\ndone\r\n0\r\n\r\n"),
+                "bad field");
+        }
+    }
+
+    SUBCASE("are checked in provisional responses and trailers")
+    {
+        check_rejected(with_lines_before("X Y: value\r\n"), "bad field");
+        check_rejected(with_trailers("X : value\r\n"), "bad field");
+    }
+
+    SUBCASE("are not empty")
+    {
+        check_rejected(with_lines(": value\r\n"), "bad field");
+    }
+
+    SUBCASE("do not begin the first line with a blank")
+    {
+        check_rejected(with_lines(" X: value\r\n"), "bad field");
+    }
+}
+
+TEST_CASE("unusual but valid responses are accepted")
+{
+    // Guards against checks that reject more than the standard does.
+    const auto accept_value = [](std::string_view line, const std::string& value) {
+        check_accepted(with_lines(fmt::format("{}\r\n", line)), 200, "done", {"X", value});
+    };
+    accept_value("X: \t value \t ", "value");
+    accept_value("X:value", "value");
+    accept_value("X:", "");
+    accept_value("X: \t ", "");
+    accept_value("X: a \t b", "a \t b");
+    accept_value("X: \x80\xe2\x82\xac\xff", "\x80\xe2\x82\xac\xff");
+    accept_value("X: a\r\nX: b", "a");
+    const std::string long_value(6'000, 'v');
+    accept_value("X: " + long_value, long_value);
+    std::string fields;
+    for (int i = 0; i < 50; ++i)
+        fields += fmt::format("X-{}: {}\r\n", i, std::string(100, 'v'));
+    check_accepted(with_lines(fields), 200, "done", {"X-49", std::string(100, 'v')});
+    check_accepted("HTTP/1.1 200 \r\n" + body_of_four, 200, "done");
+    check_accepted("HTTP/1.0 200 \x80\xff\treason\r\n" + body_of_four, 200, "done");
+    check_accepted(with_status("100", "\r\n") + with_lines_before("X: a\r\n"), 200, "done");
+    check_accepted(with_trailers("Trailer-Field: value\r\n"), 200, "done");
+    check_accepted(
+        with_lines(
+            "Transfer-Encoding: chunked\r\n",
+            "\r\n4;name=value;quoted=\"a b\"\r\ndone\r\n0\r\n\r\n"),
+        200, "done");
+    check_accepted(with_lines("", "\r\ndone"), 200, "done");
+    check_accepted("HTTP/1.1 204 No Content\r\n\r\n", 204, "");
+}
+
 TEST_SUITE_END();
