Entries: a result without a valid status code is no answer

Found by reading, when looking where else answers are read: an entry passes on the status that a side process reports. A side process of an older version reports any three digits, so that during an update a caller could still get the status 000 or 600; so could one whose call is repeated with a key under which an older version stored such an answer.

Change: call_table completes such a call as if its endpoint had been lost, with outcome unknown, which is what the new side process makes of the same answer.

No run with processes of two versions was made.

The older test of the table sends results with the status 200 now. It had left the status at 0, which is no answer any more; its checks are unchanged.

--- a/include/fulmaryard/call_table.hpp
+++ b/include/fulmaryard/call_table.hpp
@@ -27,6 +27,8 @@
     std::uint64_t add(std::string peer_address, std::string peer_process, completion done);
 
     /// Passes a result to its call. Returns false if no call to this peer is pending under its id.
+    /// A response without a valid status code fails the call like the loss of its peer: processes
+    /// of older versions pass such responses on, and may have stored them.
     bool complete(const std::string& peer_address, service_result result);
 
     /// Completes all pending calls to the peer with `endpoint_lost` and outcome `unknown`.
--- a/src/call_table.cpp
+++ b/src/call_table.cpp
@@ -1,4 +1,5 @@
 #include <fulmaryard/call_table.hpp>
+#include <fulmaryard/http_message.hpp>
 
 #include <utility>
 #include <vector>
@@ -6,6 +7,20 @@
 namespace fulmaryard
 {
 
+namespace
+{
+
+service_result lost_result(std::uint64_t call)
+{
+    service_result result;
+    result.m_call = call;
+    result.m_failure = failure_kind::endpoint_lost;
+    result.m_outcome = outcome::unknown;
+    return result;
+}
+
+} // namespace
+
 std::uint64_t call_table::add(std::string peer_address, std::string peer_process, completion done)
 {
     const std::lock_guard lock(m_mutex);
@@ -24,7 +39,10 @@
         done = std::move(found->second.m_done);
         m_pending.erase(found);
     }
-    done(std::move(result));
+    if (result.m_ok && !is_status_code(result.m_status))
+        done(lost_result(result.m_call));
+    else
+        done(std::move(result));
     return true;
 }
 
@@ -44,13 +62,7 @@
         }
     }
     for (auto& [call, done] : failed)
-    {
-        service_result result;
-        result.m_call = call;
-        result.m_failure = failure_kind::endpoint_lost;
-        result.m_outcome = outcome::unknown;
-        done(std::move(result));
-    }
+        done(lost_result(call));
 }
 
 void call_table::fail_peer(const std::string& peer_address)
--- a/tests/unit/entry_request_test.cpp
+++ b/tests/unit/entry_request_test.cpp
@@ -235,6 +235,7 @@
         calls.add("s2", "p2", [&](service_result r) { second.push_back(std::move(r)); });
     service_result result;
     result.m_ok = true;
+    result.m_status = 200;
     result.m_call = second_call;
     CHECK_FALSE(calls.complete("s1", result));
     result.m_call = first_call;
@@ -254,6 +255,35 @@
     CHECK_FALSE(calls.complete("s1", result));
 }
 
+TEST_CASE("a result without a valid status code is not an answer")
+{
+    // Guards against a response of a worker that a process of an older version passes on although
+    // it is not valid, or that it has stored.
+    call_table calls;
+    for (const unsigned status : {0U, 7U, 99U, 100U, 200U, 404U, 599U, 600U, 999U, 70'000U})
+    {
+        CAPTURE(status);
+        service_result completed;
+        service_result sent;
+        sent.m_call =
+            calls.add("s1", "p1", [&](service_result result) { completed = std::move(result); });
+        sent.m_ok = true;
+        sent.m_status = status;
+        sent.m_body = "body";
+        CHECK(calls.complete("s1", sent));
+        CHECK(completed.m_call == sent.m_call);
+        if (status >= 100 && status <= 599)
+            CHECK(completed == sent);
+        else
+        {
+            CHECK_FALSE(completed.m_ok);
+            CHECK(completed.m_body.empty());
+            CHECK(completed.m_failure == failure_kind::endpoint_lost);
+            CHECK(completed.m_outcome == outcome::unknown);
+        }
+    }
+}
+
 TEST_CASE("a call to a process that was replaced at its address ends at once")
 {
     // Guards against a caller that waits until its deadline, and an entry that cannot stop until
