Side processes: log why a call got no answer of its worker

The reason of a call that a worker answered with bytes that are not HTTP, or not at all, stood in no log: the entry's `request` line has `code=endpoint_lost`, and the side process dropped the reason. `worker_call_failed` names it with the request, so that `fulmaryard explain` shows it, as `call_broken_off` and `attempt_broken` do for routers.

Checked in process.reported_faults_entry "a worker whose answers are invalid": 80 calls, each with its reason in the log; the check failed 80 times before.

--- a/src/worker_client.cpp
+++ b/src/worker_client.cpp
@@ -64,6 +64,9 @@
     result.m_call = call.m_call;
     if (!response.ok())
     {
+        log_event(log_level::info, "worker_call_failed")
+            .with("request", call.m_request_id)
+            .with("reason", message_of(response.status()));
         result.m_failure = kind_of(response.status());
         result.m_outcome = outcome_of(response.status());
         return result;
--- a/tests/process/reported_faults_entry_test.cpp
+++ b/tests/process/reported_faults_entry_test.cpp
@@ -337,18 +337,23 @@
 TEST_CASE("a worker whose answers are invalid")
 {
     // Guards against an answer that is passed on although it is not a valid HTTP response.
+    struct invalid_head
+    {
+        std::string m_bytes;
+        std::string m_reason; ///< Why the answer is rejected, as logged.
+    };
     const std::string ok_line = "HTTP/1.1 200 OK\r\n";
-    const std::vector<std::string> heads{
-        "garbage\r\n",
-        "HTTP/1.1 000 OK\r\n",
-        "HTTP/1.1 099 OK\r\n",
-        "HTTP/1.1 600 Oops\r\n",
-        "HTTP/1.1 999 Oops\r\n",
-        ok_line + "Content-Type: text/plain\r\n folded\r\n",
-        ok_line + "Content-Type:\r\n\ttext/plain\r\n",
-        ok_line + "X Y: value\r\n",
-        ok_line + "X\x01: value\r\n",
-        ok_line + "Content-Length : 2\r\n"};
+    const std::vector<invalid_head> heads{
+        {"garbage\r\n", "bad version"},
+        {"HTTP/1.1 000 OK\r\n", "bad status"},
+        {"HTTP/1.1 099 OK\r\n", "bad status"},
+        {"HTTP/1.1 600 Oops\r\n", "bad status"},
+        {"HTTP/1.1 999 Oops\r\n", "bad status"},
+        {ok_line + "Content-Type: text/plain\r\n folded\r\n", "bad obs-fold"},
+        {ok_line + "Content-Type:\r\n\ttext/plain\r\n", "bad obs-fold"},
+        {ok_line + "X Y: value\r\n", "bad field"},
+        {ok_line + "X\x01: value\r\n", "bad field"},
+        {ok_line + "Content-Length : 2\r\n", "bad field"}};
     const std::vector<std::string> rests{
         "Content-Length: 4\r\n\r\ndone", "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
         "\r\ndone", "\r\n"};
@@ -363,7 +368,7 @@
     {
         for (const auto& rest : rests)
         {
-            bytes = head + rest;
+            bytes = head.m_bytes + rest;
             CAPTURE(bytes);
             for (const std::string method : {"POST", "GET"})
             {
@@ -375,6 +380,10 @@
                 CHECK(outcome_in(*answer) == "unknown");
                 if (method == "POST")
                     CHECK(system.worker().arrivals(id) == 1);
+                const auto logged = fmt::format(
+                    "event=worker_call_failed process=side-1 request={} reason=\"{}\"", id,
+                    head.m_reason);
+                CHECK(system.side(1).errors().find(logged) != std::string::npos);
             }
         }
     }
