Responses: comments of the parser and its readers, names in its tests

The interfaces of endpoint_channel and http_client say that a response that is not valid HTTP fails.

--- a/include/fulmaryard/endpoint_channel.hpp
+++ b/include/fulmaryard/endpoint_channel.hpp
@@ -45,7 +45,8 @@
     send(const http_request& request, std::string_view body, time_point deadline);
 
     /// Reads the status line and header fields of the next response. The body of the result is
-    /// empty; read it with `read_body`.
+    /// empty; read it with `read_body`. Both fail with `endpoint_lost` if the response is not valid
+    /// HTTP.
     boost::asio::awaitable<absl::StatusOr<http_response>> read_head(time_point deadline);
 
     /// Appends the next part of the response body to `body`. Returns false when the body is
--- a/include/fulmaryard/http_client.hpp
+++ b/include/fulmaryard/http_client.hpp
@@ -40,11 +40,11 @@
         new_connection
     };
 
-    /// Sends one request and reads the whole response. A response with any HTTP status is returned
-    /// as a success. Fails with `endpoint_lost` or `deadline_exceeded`; the progress is `not_sent`
-    /// if no connection could be established, and `sent` otherwise. If a pooled connection turns
-    /// out to be closed before any byte of the response arrives, the request is sent once more on
-    /// a new connection.
+    /// Sends one request and reads the whole response. A response with any valid status code is
+    /// returned as a success. Fails with `deadline_exceeded`, or with `endpoint_lost`, also if the
+    /// response is not valid HTTP; the progress is `not_sent` if no connection could be
+    /// established, and `sent` otherwise. If a pooled connection turns out to be closed before any
+    /// byte of the response arrives, the request is sent once more on a new connection.
     ///
     /// Pass a named object as `request`: g++ 12 makes a bitwise copy of a braced temporary inside a
     /// co_await expression, so that its strings are freed twice.
--- a/src/response_parser_inl.hpp
+++ b/src/response_parser_inl.hpp
@@ -3,9 +3,13 @@
 
 #include <fulmaryard/http_message.hpp>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/optional/optional.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -14,8 +18,8 @@
 namespace fulmaryard
 {
 
-/// Parser of HTTP/1.1 responses, with the interface of Beast's `http::response_parser`. Every
-/// reader of responses uses it.
+/// Parser of HTTP/1.1 responses, with the interface of Beast's `http::response_parser`.
+/// `endpoint_channel` and `http_client` read all responses with it.
 ///
 /// Also rejects what Beast accepts:
 /// - a status code outside 100 to 599 (RFC 9110, section 15), with `bad_status`;
@@ -41,8 +45,9 @@
     using field = boost::beast::http::field;
     using string_view = boost::beast::string_view;
 
-    /// Whether the value of a field continues on the next line. `name` points into the received
-    /// bytes, where the parser has read the line and one byte more.
+    /// Whether the value of a field continues on the next line. Beast passes on the joined value,
+    /// but `name` is a view of the received bytes: the rest of the line and at least one byte of
+    /// the next one follow it.
     static bool is_folded(string_view name)
     {
         const char* end_of_line = name.data() + name.size();
--- a/src/worker_client.cpp
+++ b/src/worker_client.cpp
@@ -58,6 +58,7 @@
     return request;
 }
 
+/// Returns the result of a call, and logs why it has no response.
 service_result make_result(const service_call& call, const absl::StatusOr<http_response>& response)
 {
     service_result result;
--- a/tests/process/invalid_answers_test.cpp
+++ b/tests/process/invalid_answers_test.cpp
@@ -13,11 +13,12 @@
 
 constexpr const char* signature_field = "Fulmaryard-Response-Signature";
 
-/// An invalid answer, built from the fields that belong to a call and the rest of a sound answer.
+/// An answer with one invalid part, between the fields that match it to its call and the rest of a
+/// sound answer.
 struct invalid_answer
 {
     std::string m_status_line;
-    std::string m_line;   ///< Between the fields of the call and the rest.
+    std::string m_line;   ///< Follows the signature.
     std::string m_reason; ///< Why the answer is rejected, as logged.
 
     std::string bytes(const std::string& call, const std::string& rest) const
@@ -73,13 +74,13 @@
     return target == stream_target ? "id: 1\ndata: x\n\nid: 2\ndata: x\n\n" : "done";
 }
 
-/// A call whose id tells the endpoint which invalid answer to send.
+/// Id of a call. It tells the endpoint which invalid answer to send.
 std::string call_id(const std::string& target, std::size_t answer, std::size_t framing)
 {
     return fmt::format("{}-{}-{}", target.substr(1, 4), answer, framing);
 }
 
-scripted_endpoint::reply scripted_reply(const std::string& call, const std::string& body)
+scripted_endpoint::reply invalid_reply(const std::string& call, const std::string& body)
 {
     const auto numbers = call.substr(call.find('-') + 1);
     const auto answer = std::stoul(numbers);
@@ -124,9 +125,9 @@
 {
     // Guards against an answer that is passed on although it is not a valid HTTP response.
     scripted_endpoint plain([](const std::string& call, int)
-                            { return scripted_reply(call, body_for("/orders/1")); });
+                            { return invalid_reply(call, body_for("/orders/1")); });
     const auto model_script = [](const std::string& call, int)
-    { return scripted_reply(call, body_for(stream_target)); };
+    { return invalid_reply(call, body_for(stream_target)); };
     // Streams wait for another path if there is one first endpoint only.
     scripted_endpoint first(model_script);
     scripted_endpoint other_first(model_script);
@@ -154,6 +155,7 @@
             });
     }
     const auto log = system.process("router-1").output();
+    // One framing of each answer is enough here, since each query is a process.
     for (std::size_t i = 0; i < reasons.size(); i += framings("").size())
     {
         const auto& id = reasons[i].first;
@@ -176,7 +178,7 @@
     const auto faulty_script = [](const std::string& target)
     {
         return [body = body_for(target)](const std::string& call, int)
-        { return scripted_reply(call, body); };
+        { return invalid_reply(call, body); };
     };
     const auto sound_script = [&](const std::string& target)
     {
@@ -198,7 +200,7 @@
     for (const std::string target : {"/look/1", stream_target})
     {
         CAPTURE(target);
-        int faulty_first = 0;
+        int sent_to_faulty = 0;
         int answered_by_other = 0;
         send_all(
             system, target,
@@ -208,7 +210,7 @@
                 const bool met_faulty =
                     (target == stream_target ? faulty_model : faulty).arrivals(id) > 0;
                 REQUIRE(response.ok());
-                faulty_first += met_faulty ? 1 : 0;
+                sent_to_faulty += met_faulty ? 1 : 0;
                 if (response->m_status == 200)
                 {
                     CHECK(response->m_body == body_for(target));
@@ -221,7 +223,7 @@
                     CHECK_FALSE(find_field(response->m_fields, signature_field));
                 }
             });
-        CHECK(faulty_first > 0);
+        CHECK(sent_to_faulty > 0);
         CHECK(answered_by_other > 0);
     }
 }
--- a/tests/unit/invalid_response_test.cpp
+++ b/tests/unit/invalid_response_test.cpp
@@ -34,7 +34,8 @@
 
 constexpr auto read_deadline = 10s;
 
-/// Server that answers one request with `m_bytes` and closes the connection.
+/// Server that answers one request with `m_bytes`, with a pause after the first `m_split_at`, and
+/// closes the connection.
 struct fixed_response_server
 {
     fixed_response_server(asio::io_context& io, std::string bytes, std::size_t split_at)
